--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Everything runs in a virtual environment of its own.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := core node cli standins
+INSTALLED := $(VENV)/installed
+
+.PHONY: demo test lint format fuzz lock clean
+
+demo: $(INSTALLED)
+	$(PYTHON) demo/demo.py
+
+test: $(INSTALLED)
+	$(PYTHON) -m pytest tests/cover tests/quality
+
+lint: $(INSTALLED)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/flake8 packages tests demo
+
+format: $(INSTALLED)
+	$(VENV)/bin/ruff format .
+
+fuzz: $(INSTALLED)
+	$(PYTHON) -m pytest tests/nocover
+
+$(INSTALLED): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements.txt
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation \
+	    $(PACKAGES:%=-e packages/%)
+	touch $@
+
+# Pins the newest versions; run it on purpose, then test.
+lock:
+	python3 -m venv --clear $(VENV)/lock
+	$(VENV)/lock/bin/pip install --quiet -r requirements.in
+	$(VENV)/lock/bin/pip freeze --all --exclude pip > requirements.txt
+
+clean:
+	rm -rf $(VENV) run
--- /dev/null
+++ b/packages/cli/src/foxtailrelay_cli/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation modules; not part of the public surface."""
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/errors.py
@@ -0,0 +1,22 @@
+"""Error kinds, outcomes, and the table from kind to answer.
+
+Every error that a caller or an operator can see is one of
+:class:`ErrorKind`; :data:`ANSWER_BY_KIND` says how each is answered::
+
+    failure = errors.Failure(errors.ErrorKind.UNKNOWN_SERVICE, 'no service x')
+    answer = errors.ANSWER_BY_KIND[failure.kind]
+    assert answer.status == 404
+"""
+
+from foxtailrelay_core.internal import error_answer
+from foxtailrelay_core.internal import error_kind
+from foxtailrelay_core.internal import failure
+from foxtailrelay_core.internal import outcome
+
+ANSWER_BY_KIND = error_answer.ANSWER_BY_KIND
+ErrorAnswer = error_answer.ErrorAnswer
+ErrorKind = error_kind.ErrorKind
+Failure = failure.Failure
+Outcome = outcome.Outcome
+
+__all__ = ['ANSWER_BY_KIND', 'ErrorAnswer', 'ErrorKind', 'Failure', 'Outcome']
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/internal/error_answer.py
@@ -0,0 +1,73 @@
+"""The table from error kind to answer."""
+
+import typing
+
+from foxtailrelay_core.internal import error_kind
+from foxtailrelay_core.internal import outcome as outcomes
+
+_Kind = error_kind.ErrorKind
+_NOT_RUN = outcomes.Outcome.NOT_RUN
+_UNKNOWN = outcomes.Outcome.UNKNOWN
+_RAN = outcomes.Outcome.RAN
+
+
+class ErrorAnswer(typing.NamedTuple):
+    """How one kind of error is answered.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    title : str
+        Short text, the same for every failure of the kind.
+    outcome : Outcome
+        What is said of the request unless the failure says otherwise.
+    retry_after_s : int or None
+        Default ``Retry-After`` in seconds; None where coming back with the
+        same request does not help.
+    """
+
+    status: int
+    title: str
+    outcome: outcomes.Outcome
+    retry_after_s: int | None = None
+
+
+ANSWER_BY_KIND: dict[error_kind.ErrorKind, ErrorAnswer] = {
+    _Kind.BAD_REQUEST: ErrorAnswer(400, 'Malformed request', _NOT_RUN),
+    _Kind.BAD_STATEMENT: ErrorAnswer(400, 'Malformed statement', _NOT_RUN),
+    _Kind.NOT_CARRIED_OUT: ErrorAnswer(
+        501, 'Statement not carried out yet', _NOT_RUN
+    ),
+    _Kind.UNAUTHENTICATED: ErrorAnswer(401, 'Not authenticated', _NOT_RUN),
+    _Kind.NO_GRANT: ErrorAnswer(403, 'Not granted', _NOT_RUN),
+    _Kind.NOT_FOUND: ErrorAnswer(404, 'No such resource', _NOT_RUN),
+    _Kind.UNKNOWN_SERVICE: ErrorAnswer(404, 'No such service', _NOT_RUN),
+    _Kind.KEY_REQUIRED: ErrorAnswer(400, 'Idempotency-Key required', _NOT_RUN),
+    _Kind.KEY_REUSED: ErrorAnswer(
+        422, 'Idempotency-Key reused for another request', _NOT_RUN
+    ),
+    _Kind.CONFLICT: ErrorAnswer(409, 'Conflicting change', _NOT_RUN),
+    _Kind.TOO_LARGE: ErrorAnswer(413, 'Request too large', _NOT_RUN),
+    _Kind.TOO_SLOW: ErrorAnswer(408, 'Request sent too slowly', _NOT_RUN),
+    _Kind.LIMIT_EXCEEDED: ErrorAnswer(
+        429, 'Limit of the organisation exceeded', _NOT_RUN, 1
+    ),
+    _Kind.OVERLOADED: ErrorAnswer(503, 'Overloaded', _NOT_RUN, 2),
+    _Kind.LEAVING: ErrorAnswer(503, 'Node is leaving', _NOT_RUN, 0),
+    _Kind.LOG_UNAVAILABLE: ErrorAnswer(
+        503, 'Log service unavailable', _NOT_RUN, 5
+    ),
+    _Kind.NO_BACKEND: ErrorAnswer(
+        503, 'No backend server available', _NOT_RUN, 5
+    ),
+    _Kind.NOT_RUN: ErrorAnswer(503, 'Request was not run', _NOT_RUN, 2),
+    _Kind.BACKEND_FAILED: ErrorAnswer(
+        502, 'Backend server failed', _UNKNOWN, 2
+    ),
+    _Kind.DEADLINE_EXCEEDED: ErrorAnswer(
+        504, 'Deadline cannot be met', _NOT_RUN, 2
+    ),
+    _Kind.OUTCOME_UNKNOWN: ErrorAnswer(504, 'Outcome unknown', _UNKNOWN),
+    _Kind.INTERNAL: ErrorAnswer(500, 'Internal error', _UNKNOWN),
+}
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/internal/error_kind.py
@@ -0,0 +1,30 @@
+"""The closed list of error kinds."""
+
+import enum
+
+
+class ErrorKind(enum.Enum):
+    """What went wrong, as named in every problem document."""
+
+    BAD_REQUEST = 'bad-request'
+    BAD_STATEMENT = 'bad-statement'
+    NOT_CARRIED_OUT = 'not-carried-out'
+    UNAUTHENTICATED = 'unauthenticated'
+    NO_GRANT = 'no-grant'
+    NOT_FOUND = 'not-found'
+    UNKNOWN_SERVICE = 'unknown-service'
+    KEY_REQUIRED = 'key-required'
+    KEY_REUSED = 'key-reused'
+    CONFLICT = 'conflict'
+    TOO_LARGE = 'too-large'
+    TOO_SLOW = 'too-slow'
+    LIMIT_EXCEEDED = 'limit-exceeded'
+    OVERLOADED = 'overloaded'
+    LEAVING = 'leaving'
+    LOG_UNAVAILABLE = 'log-unavailable'
+    NO_BACKEND = 'no-backend'
+    NOT_RUN = 'not-run'
+    BACKEND_FAILED = 'backend-failed'
+    DEADLINE_EXCEEDED = 'deadline-exceeded'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    INTERNAL = 'internal'
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -0,0 +1,83 @@
+"""Length-prefixed messages over a byte stream."""
+
+import struct
+
+import trio
+
+from foxtailrelay_core.internal import message_codec
+from foxtailrelay_core.internal import message_types
+
+_LENGTH = struct.Struct('>I')
+_READ_BYTES = 65536
+LONGEST_FRAME_BYTES = 8 << 20
+
+
+class FrameError(Exception):
+    """The other side broke the framing; the connection is of no use."""
+
+
+class FrameStream:
+    """Sends and receives messages over one connection.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The connection; closed by :meth:`aclose`.
+    """
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+        self._send_lock = trio.Lock()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def send(
+        self, message_id: int, message: message_types.Message
+    ) -> None:
+        """Send one message; several tasks may send at once.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection is gone.
+        """
+        data = message_codec.encode(message_id, message)
+        if len(data) > LONGEST_FRAME_BYTES:
+            raise FrameError(f'message of {len(data)} bytes is too long')
+        async with self._send_lock:
+            await self._stream.send_all(_LENGTH.pack(len(data)) + data)
+        self.sent_bytes += _LENGTH.size + len(data)
+
+    async def receive(self) -> tuple[int, message_types.Message]:
+        """Receive one message.
+
+        Raises
+        ------
+        FrameError
+            If the frame is too long, cut short or not a message.
+        """
+        (length,) = _LENGTH.unpack(await self._receive_exactly(_LENGTH.size))
+        if length > LONGEST_FRAME_BYTES:
+            raise FrameError(f'frame of {length} bytes is too long')
+        data = await self._receive_exactly(length)
+        try:
+            return message_codec.decode(data)
+        except message_codec.DecodeError as error:
+            raise FrameError(str(error)) from error
+
+    async def _receive_exactly(self, count: int) -> bytes:
+        """Return the next ``count`` bytes."""
+        while len(self._buffer) < count:
+            chunk = await self._stream.receive_some(_READ_BYTES)
+            if not chunk:
+                raise FrameError('connection closed by the other side')
+            self.received_bytes += len(chunk)
+            self._buffer += chunk
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return data
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -0,0 +1,98 @@
+"""Encodes and decodes messages with Cap'n Proto."""
+
+import enum
+import pathlib
+import typing
+
+import capnp
+
+from foxtailrelay_core.internal import message_types
+
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
+_TYPE_BY_FIELD: dict[str, typing.Any] = {
+    'challenge': message_types.Challenge,
+    'hello': message_types.Hello,
+    'welcome': message_types.Welcome,
+    'refusal': message_types.Refusal,
+    'heartbeat': message_types.Heartbeat,
+    'fetchConfig': message_types.FetchConfig,
+    'configRecords': message_types.ConfigRecords,
+    'forwardCall': message_types.ForwardCall,
+    'forwardAnswer': message_types.ForwardAnswer,
+}
+_FIELD_BY_TYPE = {kind: name for name, kind in _TYPE_BY_FIELD.items()}
+_ITEM_TYPE_BY_FIELD: dict[str, typing.Any] = {
+    'members': message_types.MemberDigest,
+    'records': message_types.ConfigRecord,
+    'headers': message_types.Header,
+}
+_LONGEST_TRAVERSAL_WORDS = 4 << 20
+
+
+class DecodeError(ValueError):
+    """The bytes are not a message of this protocol."""
+
+
+def encode(message_id: int, message: message_types.Message) -> bytes:
+    """Encode a message with the id that its answer will carry."""
+    field = _FIELD_BY_TYPE[type(message)]
+    content = _to_fields(message)
+    envelope = _SCHEMA.Envelope.new_message(id=message_id, **{field: content})
+    return envelope.to_bytes_packed()
+
+
+def decode(data: bytes) -> tuple[int, message_types.Message]:
+    """Decode one envelope.
+
+    Returns
+    -------
+    tuple of int and Message
+        The message id and the typed message.
+
+    Raises
+    ------
+    DecodeError
+        If the bytes are not a valid envelope.
+    """
+    try:
+        envelope = _SCHEMA.Envelope.from_bytes_packed(
+            data, traversal_limit_in_words=_LONGEST_TRAVERSAL_WORDS
+        )
+        field = envelope.which()
+        content = getattr(envelope, str(field)).to_dict()
+        message = _from_fields(_TYPE_BY_FIELD[str(field)], content)
+        return envelope.id, message
+    except (capnp.KjException, KeyError, ValueError, TypeError) as error:
+        raise DecodeError(f'not a peer message: {error}') from error
+
+
+def _camel_case(name: str) -> str:
+    """Turn a Python field name into a schema field name."""
+    head, *rest = name.split('_')
+    return head + ''.join(part.capitalize() for part in rest)
+
+
+def _to_fields(message) -> dict[str, typing.Any]:
+    """Turn a tuple into the mapping that the schema expects."""
+    fields = {}
+    for name, value in message._asdict().items():
+        if name in _ITEM_TYPE_BY_FIELD:
+            value = [_to_fields(item) for item in value]
+        if isinstance(value, enum.IntEnum):
+            value = int(value)
+        fields[_camel_case(name)] = value
+    return fields
+
+
+def _from_fields(kind, content: dict[str, typing.Any]):
+    """Build a tuple of type ``kind`` from a decoded mapping."""
+    values = {}
+    for name in kind._fields:
+        value = content[_camel_case(name)]
+        if name in _ITEM_TYPE_BY_FIELD:
+            item_kind = _ITEM_TYPE_BY_FIELD[name]
+            value = tuple(_from_fields(item_kind, item) for item in value)
+        if name == 'state':
+            value = message_types.MemberState(value)
+        values[name] = value
+    return kind(**values)
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/settings.py
@@ -0,0 +1,42 @@
+"""Settings of a node, checked as a whole when they are loaded.
+
+Settings are JSON with comments::
+
+    loaded = settings.load_file('entry-1.jsonc')
+    if isinstance(loaded, settings.SettingsErrors):
+        print(loaded.text())
+"""
+
+from foxtailrelay_core.internal import node_settings
+from foxtailrelay_core.internal import settings_errors
+from foxtailrelay_core.internal import settings_loader
+
+ClusterSettings = node_settings.ClusterSettings
+LimitSettings = node_settings.LimitSettings
+LogSettings = node_settings.LogSettings
+NodeIdentity = node_settings.NodeIdentity
+NodeSettings = node_settings.NodeSettings
+OperatorAccount = node_settings.OperatorAccount
+PeerAddress = node_settings.PeerAddress
+PlatformSettings = node_settings.PlatformSettings
+RoutingSettings = node_settings.RoutingSettings
+SettingsErrors = settings_errors.SettingsErrors
+TimingSettings = node_settings.TimingSettings
+load_file = settings_loader.load_file
+load_text = settings_loader.load_text
+
+__all__ = [
+    'ClusterSettings',
+    'LimitSettings',
+    'LogSettings',
+    'NodeIdentity',
+    'NodeSettings',
+    'OperatorAccount',
+    'PeerAddress',
+    'PlatformSettings',
+    'RoutingSettings',
+    'SettingsErrors',
+    'TimingSettings',
+    'load_file',
+    'load_text',
+]
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/event_sink.py
@@ -0,0 +1,15 @@
+"""Where the events of a model answer go."""
+
+import abc
+
+from foxtailrelay_node.internal.platform import engine_outcomes
+
+
+class EventSink(abc.ABC):
+    """Takes the events of one answer in order, each once."""
+
+    @abc.abstractmethod
+    async def take(
+        self, engine: str, event: engine_outcomes.StreamEvent
+    ) -> None:
+        """Take the next event."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -0,0 +1,368 @@
+"""Serves one model request over however many engines it takes."""
+
+import json
+import typing
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import prefixes
+from foxtailrelay_core import settings as settings_module
+import logbook
+import trio
+
+from foxtailrelay_node.internal.callers import chat_request
+from foxtailrelay_node.internal.callers import event_sink
+from foxtailrelay_node.internal.callers import resume_point
+from foxtailrelay_node.internal import metrics as metrics_module
+from foxtailrelay_node.internal.platform import engine_client
+from foxtailrelay_node.internal.platform import engine_outcomes
+from foxtailrelay_node.internal.routing import decision as decisions
+from foxtailrelay_node.internal.routing import engine_state
+from foxtailrelay_node.internal.routing import engine_watch
+from foxtailrelay_node.internal.routing import model_router
+from foxtailrelay_node.internal.routing import retry_budget
+
+_LOG = logbook.Logger('foxtailrelay.callers')
+_Kind = errors.ErrorKind
+_INTERACTIVE_PRIORITY = 0
+_BATCH_PRIORITY = 10
+_CANCEL_TIMEOUT_S = 1.0
+_MOST_TRIES = 6
+
+
+class ModelJob(typing.NamedTuple):
+    """One model request on its way.
+
+    Parameters
+    ----------
+    request_id : str
+        ``organisation.random``; the engine knows the request by it.
+    organisation : str
+        Who sent it.
+    chat : ChatRequest
+        What was sent.
+    is_batch : bool
+        Whether it may wait.
+    deadline_s : float
+        Deadline by trio's clock.
+    resume : ResumePoint or None
+        Where to go on, for a stream that broke before.
+    """
+
+    request_id: str
+    organisation: str
+    chat: chat_request.ChatRequest
+    is_batch: bool
+    deadline_s: float
+    resume: resume_point.ResumePoint | None = None
+
+
+class _Progress:
+    """How much of the answer has been passed to the sink."""
+
+    def __init__(self, job: ModelJob, started_s: float) -> None:
+        self.job = job
+        self.started_s = started_s
+        self.number = job.resume.number if job.resume else 0
+        self.first_event_s: float | None = None
+        self.last_event_s = started_s
+        self.events: list[bytes] = []
+        self.last_engine = job.resume.engine if job.resume else ''
+        self.has_own_start = job.resume is None
+        self.was_sent = False
+
+    def partial_answer(self) -> str:
+        """Return the text so far, for an engine that goes on with it."""
+        parts = []
+        for data in self.events:
+            delta = json.loads(data)['choices'][0]['delta']
+            parts.append(delta.get('content') or '')
+        return ''.join(parts)
+
+
+class ModelDispatcher:
+    """Chooses engines, streams from them and resumes broken streams.
+
+    Parameters
+    ----------
+    client : EngineClient
+        Opens streams.
+    watch : EngineWatch
+        Knows the engines.
+    router : ModelRouter
+        Chooses engines.
+    metrics : Metrics
+        Where measures are counted.
+    settings : RoutingSettings
+        Latency targets and retry budget.
+    """
+
+    def __init__(
+        self,
+        client: engine_client.EngineClient,
+        watch: engine_watch.EngineWatch,
+        router: model_router.ModelRouter,
+        metrics: metrics_module.Metrics,
+        settings: settings_module.RoutingSettings,
+    ) -> None:
+        self._client = client
+        self._watch = watch
+        self._router = router
+        self._metrics = metrics
+        self._settings = settings
+        self._budget = retry_budget.RetryBudget(settings.retry_budget_ratio)
+
+    async def serve(
+        self, job: ModelJob, sink: event_sink.EventSink
+    ) -> errors.Failure | None:
+        """Pass a whole answer to the sink; None when it is whole."""
+        progress = _Progress(job, trio.current_time())
+        with trio.move_on_at(job.deadline_s) as scope:
+            failure = await self._serve(progress, sink)
+        if scope.cancelled_caught:
+            failure = errors.Failure(
+                _Kind.DEADLINE_EXCEEDED,
+                'the answer was not whole when the deadline passed',
+                outcome=_outcome_of(progress),
+            )
+        if failure is None:
+            self._note_whole(progress)
+        return failure
+
+    async def _serve(
+        self, progress: _Progress, sink: event_sink.EventSink
+    ) -> errors.Failure | None:
+        """Try engines until the answer is whole."""
+        job = progress.job
+        text = prefixes.prompt_text(job.chat.messages)
+        hashes = prefixes.block_hashes(text)
+        excluded: set[str] = set()
+        self._budget.note_first_try()
+        for tries in range(_MOST_TRIES):
+            if tries > 0 and not self._budget.try_spend():
+                return _broken(progress, 'the retry budget is used up')
+            demand = decisions.ModelDemand(
+                job.request_id,
+                job.chat.service,
+                prefixes.estimate_tokens(text),
+                hashes,
+                job.chat.max_tokens,
+                job.is_batch,
+                job.deadline_s - trio.current_time(),
+            )
+            choice = self._choose(progress, demand, frozenset(excluded))
+            if isinstance(choice, errors.Failure):
+                return choice
+            item = await self._stream(progress, demand, choice, sink)
+            if isinstance(item, engine_outcomes.StreamEnd):
+                return None
+            _LOG.info(
+                'stream broken request={} engine={} event={} why={}',
+                job.request_id,
+                choice.engine.name,
+                progress.number,
+                item.cause,
+            )
+            # A connection may have gone silent while the engine is well:
+            # the same engine gets one more try on a new connection.
+            if item.refused or choice.engine.name == progress.last_engine:
+                excluded.add(choice.engine.name)
+                choice.engine.note_unreachable()
+            progress.last_engine = choice.engine.name
+        return _broken(progress, 'too many engines broke off')
+
+    def _choose(
+        self,
+        progress: _Progress,
+        demand: decisions.ModelDemand,
+        excluded: frozenset[str],
+    ) -> decisions.Estimate | errors.Failure:
+        """Choose the engine that has the stream, or the router's choice."""
+        name = progress.last_engine
+        engine = self._watch.engine(name) if name else None
+        if engine is not None and name not in excluded:
+            _LOG.info(
+                'route request={} organisation={} service={} chosen={} '
+                'candidates={} why=resume',
+                demand.request_id,
+                progress.job.organisation,
+                demand.service,
+                name,
+                name,
+            )
+            return decisions.Estimate(engine, 0.0, 0.0, 0.0)
+        if not progress.has_own_start and not progress.job.chat.is_repeatable:
+            return errors.Failure(
+                _Kind.BACKEND_FAILED,
+                'the engine that had this answer is gone, and another one '
+                'would answer differently; send the request again without '
+                'Last-Event-ID',
+            )
+        decision = self._router.choose(
+            demand, progress.job.organisation, excluded
+        )
+        if isinstance(decision, decisions.Decision):
+            return decision.estimate
+        kind = _Kind.OVERLOADED
+        if not self._watch.engines_of(demand.service):
+            kind = _Kind.NO_BACKEND
+        return errors.Failure(
+            kind,
+            decision.why,
+            outcome=_outcome_of(progress),
+            retry_after_s=decision.retry_after_s,
+        )
+
+    async def _stream(
+        self,
+        progress: _Progress,
+        demand: decisions.ModelDemand,
+        estimate: decisions.Estimate,
+        sink: event_sink.EventSink,
+    ) -> engine_outcomes.StreamEnd | engine_outcomes.StreamBroken:
+        """Stream from one engine until the end or a break."""
+        job = progress.job
+        engine = estimate.engine
+        same_engine = engine.name == progress.last_engine
+        partial = '' if same_engine else progress.partial_answer()
+        self._note_try(progress, estimate, same_engine)
+        priority = _BATCH_PRIORITY if job.is_batch else _INTERACTIVE_PRIORITY
+        request = engine_outcomes.EngineRequest(
+            job.request_id,
+            job.chat.engine_body(partial),
+            priority,
+            progress.number,
+        )
+        progress.was_sent = True
+        queued = _QueuedTokens(engine, estimate.computed_tokens)
+        engine.own_requests += 1
+        engine.prefixes.note_sent(demand.hashes)
+        ended = False
+        try:
+            stream = await self._client.open_stream(engine.address, request)
+            if isinstance(stream, engine_outcomes.StreamBroken):
+                ended = True
+                return stream
+            try:
+                item = await self._pass_on(progress, stream, sink, queued)
+            finally:
+                await stream.aclose()
+            ended = True
+            return item
+        finally:
+            engine.own_requests -= 1
+            queued.clear()
+            if not ended:
+                await self._cancel(engine, job.request_id)
+
+    async def _pass_on(
+        self,
+        progress: _Progress,
+        stream: engine_client.EngineStream,
+        sink: event_sink.EventSink,
+        queued: '_QueuedTokens',
+    ) -> engine_outcomes.StreamEnd | engine_outcomes.StreamBroken:
+        """Pass events on, each once and without a gap."""
+        while True:
+            item = await stream.next_item()
+            if not isinstance(item, engine_outcomes.StreamEvent):
+                return item
+            queued.clear()
+            if item.number <= progress.number:
+                continue
+            if item.number != progress.number + 1:
+                return engine_outcomes.StreamBroken('gap in the events')
+            progress.number = item.number
+            progress.events.append(item.data)
+            progress.last_event_s = trio.current_time()
+            if progress.first_event_s is None:
+                progress.first_event_s = progress.last_event_s
+            await sink.take(queued.engine.name, item)
+
+    async def _cancel(
+        self, engine: engine_state.EngineState, request_id: str
+    ) -> None:
+        """Tell an engine that nobody waits any more."""
+        with trio.CancelScope(shield=True):
+            with trio.move_on_after(_CANCEL_TIMEOUT_S):
+                await self._client.cancel(engine.address, request_id)
+
+    def _note_try(
+        self,
+        progress: _Progress,
+        estimate: decisions.Estimate,
+        same_engine: bool,
+    ) -> None:
+        """Count cost and resumptions."""
+        job = progress.job
+        service = job.chat.service
+        self._metrics.cost.labels(service, job.organisation).inc(estimate.cost)
+        if progress.number == 0:
+            return
+        place = 'same-engine' if same_engine else 'other-engine'
+        self._metrics.resumed_streams.labels(service, place).inc()
+        if not same_engine:
+            recomputed = estimate.computed_tokens + progress.number
+            self._metrics.recomputed_tokens.labels(service).inc(recomputed)
+
+    def _note_whole(self, progress: _Progress) -> None:
+        """Count latencies and tokens of a whole answer."""
+        service = progress.job.chat.service
+        usage = json.loads(progress.events[-1]).get('usage') or {}
+        details = usage.get('prompt_tokens_details') or {}
+        cached = details.get('cached_tokens') or 0
+        computed = max(0, usage.get('prompt_tokens', 0) - cached)
+        tokens = self._metrics.prompt_tokens
+        tokens.labels(service, 'cached').inc(cached)
+        tokens.labels(service, 'computed').inc(computed)
+        first_s = progress.first_event_s - progress.started_s
+        count = max(1, len(progress.events) - 1)
+        interval_s = (progress.last_event_s - progress.first_event_s) / count
+        self._metrics.first_token_seconds.labels(service).observe(first_s)
+        self._metrics.token_interval_seconds.labels(service).observe(
+            interval_s
+        )
+        if (
+            first_s <= self._settings.first_token_target_s
+            and interval_s <= self._settings.token_interval_target_s
+        ):
+            self._metrics.on_target.labels(service).inc()
+
+
+class _QueuedTokens:
+    """Prompt tokens that count as queued until the first event."""
+
+    def __init__(
+        self, engine: engine_state.EngineState, tokens: float
+    ) -> None:
+        self.engine = engine
+        self._tokens = tokens
+        self._started_s = trio.current_time()
+        self._alone = engine.own_queued_tokens == 0
+        engine.own_queued_tokens += tokens
+
+    def clear(self) -> None:
+        """Count the tokens as computed."""
+        if not self._tokens:
+            return
+        self.engine.own_queued_tokens -= self._tokens
+        if self._alone:
+            seconds = trio.current_time() - self._started_s
+            self.engine.note_prefill(round(self._tokens), seconds)
+        self._tokens = 0.0
+
+
+def _outcome_of(progress: _Progress) -> errors.Outcome:
+    """Tell whether any engine got the request or began to answer."""
+    if progress.first_event_s is not None:
+        return errors.Outcome.RAN
+    if progress.was_sent:
+        return errors.Outcome.UNKNOWN
+    return errors.Outcome.NOT_RUN
+
+
+def _broken(progress: _Progress, why: str) -> errors.Failure:
+    return errors.Failure(
+        _Kind.BACKEND_FAILED,
+        f'the answer broke off after event {progress.number}: {why}',
+        outcome=_outcome_of(progress),
+    )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
@@ -0,0 +1,215 @@
+"""``POST /v1/chat/completions``: whole or as events."""
+
+import json
+import secrets
+import time
+
+from foxtailrelay_core import errors
+from starlette import requests
+from starlette import types
+import trio
+
+from foxtailrelay_node.internal.callers import chat_request
+from foxtailrelay_node.internal.callers import event_sink
+from foxtailrelay_node.internal.callers import http_answer
+from foxtailrelay_node.internal.callers import model_dispatcher
+from foxtailrelay_node.internal.callers import resume_point
+from foxtailrelay_node.internal.platform import engine_outcomes
+
+_RANDOM_BYTES = 16
+
+
+def new_request_id(organisation: str) -> str:
+    """Return a request id that names its organisation."""
+    return f'{organisation}.{secrets.token_hex(_RANDOM_BYTES)}'
+
+
+class StreamedAnswer(event_sink.EventSink):
+    """An ASGI response that passes events on as they come.
+
+    Parameters
+    ----------
+    dispatcher : ModelDispatcher
+        Serves the request.
+    job : ModelJob
+        The request.
+    """
+
+    def __init__(
+        self,
+        dispatcher: model_dispatcher.ModelDispatcher,
+        job: model_dispatcher.ModelJob,
+    ) -> None:
+        self.failure: errors.Failure | None = None
+        self._dispatcher = dispatcher
+        self._job = job
+        self._started = False
+        self._send: types.Send | None = None
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Serve the request; a caller who goes away ends it."""
+        self._send = send
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_disconnect, receive, nursery)
+            self.failure = await self._dispatcher.serve(self._job, self)
+            await self._finish(scope, receive)
+            nursery.cancel_scope.cancel()
+
+    async def take(
+        self, engine: str, event: engine_outcomes.StreamEvent
+    ) -> None:
+        """Send one event, with an id by which any node can resume."""
+        if not self._started:
+            await self._start()
+        point = resume_point.ResumePoint(
+            self._job.request_id, engine, event.number
+        )
+        await self._send_body(
+            b'id: %b\ndata: %b\n\n' % (point.text().encode(), event.data)
+        )
+
+    async def _finish(
+        self, scope: types.Scope, receive: types.Receive
+    ) -> None:
+        """Send the end mark, or the failure in whatever form still fits."""
+        if self.failure is None:
+            await self._send_body(b'data: [DONE]\n\n')
+        elif not self._started:
+            answer = http_answer.HttpAnswer.from_failure(
+                self.failure, self._job.request_id
+            )
+            response = answer.response(self._job.request_id)
+            await response(scope, receive, self._send)
+            return
+        else:
+            problem = json.dumps(self.failure.problem_document()).encode()
+            await self._send_body(b'event: error\ndata: %b\n\n' % problem)
+        await self._send({'type': 'http.response.body', 'body': b''})
+
+    async def _start(self) -> None:
+        self._started = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [
+                    (b'content-type', b'text/event-stream; charset=utf-8'),
+                    (b'cache-control', b'no-store'),
+                    (b'x-request-id', self._job.request_id.encode()),
+                ],
+            }
+        )
+
+    async def _send_body(self, data: bytes) -> None:
+        await self._send(
+            {'type': 'http.response.body', 'body': data, 'more_body': True}
+        )
+
+
+class CollectedAnswer(event_sink.EventSink):
+    """Collects the events of an answer into one JSON document."""
+
+    def __init__(self, job: model_dispatcher.ModelJob) -> None:
+        self._job = job
+        self._texts: list[str] = []
+        self._finish_reason = 'stop'
+        self._usage: dict = {}
+
+    async def take(
+        self, engine: str, event: engine_outcomes.StreamEvent
+    ) -> None:
+        """Add one event."""
+        fields = json.loads(event.data)
+        choice = fields['choices'][0]
+        self._texts.append(choice['delta'].get('content') or '')
+        self._finish_reason = choice['finish_reason'] or self._finish_reason
+        self._usage = fields.get('usage') or self._usage
+
+    def answer(self) -> http_answer.HttpAnswer:
+        """Return the whole answer."""
+        message = {'role': 'assistant', 'content': ''.join(self._texts)}
+        document = {
+            'id': self._job.request_id,
+            'object': 'chat.completion',
+            'created': int(time.time()),
+            'model': self._job.chat.service,
+            'choices': [
+                {
+                    'index': 0,
+                    'message': message,
+                    'finish_reason': self._finish_reason,
+                }
+            ],
+            'usage': self._usage,
+        }
+        return http_answer.HttpAnswer(
+            200,
+            (
+                ('Content-Type', 'application/json'),
+                (http_answer.OUTCOME_HEADER, errors.Outcome.RAN.value),
+            ),
+            json.dumps(document).encode(),
+        )
+
+
+class ModelEndpoint:
+    """Serves checked chat-completions requests.
+
+    Parameters
+    ----------
+    dispatcher : ModelDispatcher
+        Serves the requests.
+    """
+
+    def __init__(self, dispatcher: model_dispatcher.ModelDispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    def make_job(
+        self,
+        request: requests.Request,
+        organisation: str,
+        chat: chat_request.ChatRequest,
+        deadline_s: float,
+    ) -> model_dispatcher.ModelJob:
+        """Build the job of a request from its headers."""
+        last_event = request.headers.get('last-event-id')
+        resume = None
+        request_id = new_request_id(organisation)
+        if last_event:
+            resume = resume_point.ResumePoint.from_header(
+                last_event, organisation
+            )
+            request_id = resume.request_id
+        return model_dispatcher.ModelJob(
+            request_id,
+            organisation,
+            chat,
+            request.headers.get('x-priority', '').lower() == 'batch',
+            deadline_s,
+            resume,
+        )
+
+    def stream(self, job: model_dispatcher.ModelJob) -> StreamedAnswer:
+        """Return a response that streams the answer."""
+        return StreamedAnswer(self._dispatcher, job)
+
+    async def collect(
+        self, job: model_dispatcher.ModelJob
+    ) -> http_answer.HttpAnswer | errors.Failure:
+        """Return the whole answer."""
+        sink = CollectedAnswer(job)
+        failure = await self._dispatcher.serve(job, sink)
+        return failure or sink.answer()
+
+
+async def _cancel_on_disconnect(
+    receive: types.Receive, nursery: trio.Nursery
+) -> None:
+    """Cancel a nursery when the caller goes away."""
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            nursery.cancel_scope.cancel()
+            return
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
@@ -0,0 +1,275 @@
+"""Calls to plain services, by ledger where they must not repeat."""
+
+import re
+import typing
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import messages
+from foxtailrelay_core import settings as settings_module
+import logbook
+import trio
+
+from foxtailrelay_node.internal.callers import http_answer
+from foxtailrelay_node.internal.callers import request_failed
+from foxtailrelay_node.internal.catalogue import options
+from foxtailrelay_node.internal.ledger import call as calls
+from foxtailrelay_node.internal.ledger import call_results
+from foxtailrelay_node.internal.ledger import ledger as ledgers
+from foxtailrelay_node.internal.members import link_keeper
+from foxtailrelay_node.internal.members import peer_link
+from foxtailrelay_node.internal.platform import backend_client
+from foxtailrelay_node.internal.platform import http_outcomes
+from foxtailrelay_node.internal.routing import plain_router
+from foxtailrelay_node.internal.routing import retry_budget
+
+_LOG = logbook.Logger('foxtailrelay.callers')
+_Kind = errors.ErrorKind
+_KEY_PATTERN = re.compile(r'[A-Za-z0-9._:-]{1,200}')
+_SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
+_HEADERS_NOT_PASSED_ON = frozenset(
+    {
+        'host', 'content-length', 'transfer-encoding', 'connection',
+        'keep-alive', 'te', 'trailer', 'upgrade', 'expect', 'authorization',
+        'prefer', 'x-request-timeout-ms',
+    }
+)  # fmt: skip
+
+
+class PlainRequest(typing.NamedTuple):
+    """A call to a plain service, after authentication and grants.
+
+    Parameters
+    ----------
+    organisation, service : str
+        Who calls what.
+    method, path : str
+        As the backend server expects them.
+    headers : tuple of (str, str)
+        All headers of the caller, names in lower case.
+    body : bytes
+        The whole body.
+    deadline_s : float
+        Deadline by trio's clock.
+    """
+
+    organisation: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_s: float
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty text."""
+        return dict(self.headers).get(name, '')
+
+    def headers_to_pass_on(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that the backend server gets."""
+        return tuple(
+            (name, value)
+            for name, value in self.headers
+            if name not in _HEADERS_NOT_PASSED_ON
+        )
+
+
+class PlainEndpoint:
+    """Serves calls to plain services.
+
+    Parameters
+    ----------
+    node_id : str
+        This node.
+    ledger : Ledger
+        Runs calls that must not repeat.
+    links : LinkKeeper
+        Forwards them to their preferred node.
+    router : PlainRouter
+        Orders backend servers for calls that may repeat.
+    client : BackendClient
+        Sends calls that may repeat.
+    routing : RoutingSettings
+        Retry budget.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        ledger: ledgers.Ledger,
+        links: link_keeper.LinkKeeper,
+        router: plain_router.PlainRouter,
+        client: backend_client.BackendClient,
+        routing: settings_module.RoutingSettings,
+    ) -> None:
+        self._node_id = node_id
+        self._ledger = ledger
+        self._links = links
+        self._router = router
+        self._client = client
+        self._budget = retry_budget.RetryBudget(routing.retry_budget_ratio)
+
+    async def serve(
+        self, request: PlainRequest, service: options.Service, request_id: str
+    ) -> http_answer.HttpAnswer:
+        """Answer a call."""
+        repeatable = service.idempotent or request.method in _SAFE_METHODS
+        if repeatable:
+            return await self._serve_repeatable(request, service, request_id)
+        key = request.header('idempotency-key')
+        _check_key(key, request.service)
+        call = calls.LedgerCall(
+            request_id,
+            f'{request.organisation}/{request.service}/{key}',
+            request.method,
+            request.path,
+            request.headers_to_pass_on(),
+            request.body,
+            request.deadline_s,
+        )
+        respond_async = 'respond-async' in request.header('prefer')
+        return await self._serve_once(call, respond_async)
+
+    async def run_forwarded(
+        self, forwarded: messages.ForwardCall
+    ) -> messages.ForwardAnswer:
+        """Run a call that another node forwarded."""
+        call = calls.LedgerCall(
+            forwarded.request_id,
+            f'{forwarded.organisation}/{forwarded.service}/'
+            f'{forwarded.idempotency_key}',
+            forwarded.method,
+            forwarded.path,
+            tuple((h.name, h.value) for h in forwarded.headers),
+            forwarded.body,
+            trio.current_time() + forwarded.timeout_ms / 1000,
+        )
+        answer = await self._run(call, forwarded.respond_async)
+        headers = tuple(messages.Header(*pair) for pair in answer.headers)
+        return messages.ForwardAnswer(answer.status, headers, answer.body)
+
+    async def _serve_once(
+        self, call: calls.LedgerCall, respond_async: bool
+    ) -> http_answer.HttpAnswer:
+        """Run a call here or at the preferred node of its key."""
+        preferred = self._ledger.preferred_node(call.key)
+        if preferred != self._node_id:
+            answer = await self._forward(preferred, call, respond_async)
+            if answer is not None:
+                return answer
+        # Where forwarding failed, the call may or may not have arrived.
+        # Running it here is safe: both nodes write to the same partition,
+        # and the order of their records decides who sends.
+        return await self._run(call, respond_async)
+
+    async def _run(
+        self, call: calls.LedgerCall, respond_async: bool
+    ) -> http_answer.HttpAnswer:
+        run = self._ledger.accept if respond_async else self._ledger.execute
+        result = await run(call)
+        return http_answer.HttpAnswer.from_result(result, call.request_id)
+
+    async def _forward(
+        self, node_id: str, call: calls.LedgerCall, respond_async: bool
+    ) -> http_answer.HttpAnswer | None:
+        """Forward a call; None when no answer came back."""
+        organisation, service, key = call.key.split('/', 2)
+        left_s = call.deadline_s - trio.current_time()
+        _LOG.info(
+            'forward request={} organisation={} service={} chosen={} '
+            'why=preferred-node',
+            call.request_id,
+            organisation,
+            service,
+            node_id,
+        )
+        forwarded = messages.ForwardCall(
+            call.request_id,
+            organisation,
+            service,
+            key,
+            call.method,
+            call.path,
+            tuple(messages.Header(*pair) for pair in call.headers),
+            call.body,
+            max(1, int(left_s * 1000)),
+            respond_async,
+        )
+        try:
+            answer = await self._links.request(node_id, forwarded, left_s)
+        except (peer_link.LinkClosed, messages.FrameError) as error:
+            _LOG.info('forward request={} failed: {}', call.request_id, error)
+            return None
+        if not isinstance(answer, messages.ForwardAnswer):
+            return None
+        headers = tuple((h.name, h.value) for h in answer.headers)
+        return http_answer.HttpAnswer(answer.status, headers, answer.body)
+
+    async def _serve_repeatable(
+        self, request: PlainRequest, service: options.Service, request_id: str
+    ) -> http_answer.HttpAnswer:
+        """Send a call that may repeat, to other servers where needed."""
+        failure = errors.Failure(
+            _Kind.NO_BACKEND,
+            f'no backend server of service {request.service} takes new work',
+        )
+        self._budget.note_first_try()
+        tries = 0
+        for choice in self._router.choices(request.service, request_id):
+            left_s = request.deadline_s - trio.current_time()
+            if left_s <= 0 or (tries > 0 and not self._budget.try_spend()):
+                break
+            tries += 1
+            call = backend_client.BackendCall(
+                request.method,
+                request.path,
+                request.headers_to_pass_on(),
+                request.body,
+                left_s,
+                repeatable=True,
+            )
+            with self._router.in_flight(choice.name):
+                outcome = await self._client.call(choice.address, call)
+            match outcome:
+                case http_outcomes.HttpAnswer():
+                    if outcome.status != service.refusal_status:
+                        result = call_results.CallAnswered.from_http(outcome)
+                        return http_answer.HttpAnswer.from_result(
+                            result, request_id
+                        )
+                    failure = errors.Failure(
+                        _Kind.NOT_RUN, f'{choice.name} refused the call'
+                    )
+                case http_outcomes.NotSent():
+                    self._router.note_unreachable(choice.name)
+                    failure = errors.Failure(
+                        _Kind.NOT_RUN, f'{choice.name}: {outcome.cause}'
+                    )
+                case http_outcomes.Unclear():
+                    self._router.note_unreachable(choice.name)
+                    failure = errors.Failure(
+                        _Kind.BACKEND_FAILED,
+                        f'{choice.name}: {outcome.cause}',
+                    )
+        return http_answer.HttpAnswer.from_failure(failure, request_id)
+
+
+def _check_key(key: str, service: str) -> None:
+    """Check an ``Idempotency-Key``.
+
+    Raises
+    ------
+    RequestFailed
+        If it is missing or malformed.
+    """
+    if not key:
+        raise request_failed.RequestFailed.of(
+            _Kind.KEY_REQUIRED,
+            f'calls to service {service} must not repeat; send an '
+            'Idempotency-Key, a fresh one for each call',
+        )
+    if not _KEY_PATTERN.fullmatch(key):
+        raise request_failed.RequestFailed.of(
+            _Kind.BAD_REQUEST,
+            'an Idempotency-Key has 1 to 200 letters, digits, dots, '
+            'colons, hyphens and underscores',
+        )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/callers/resume_point.py
@@ -0,0 +1,39 @@
+"""Where a caller wants a broken stream to go on."""
+
+import re
+import typing
+
+from foxtailrelay_core import errors
+
+from foxtailrelay_node.internal.callers import request_failed
+
+_PATTERN = re.compile(r'([a-z0-9-]+\.[0-9a-f]+)/([A-Za-z0-9_-]+)/(\d{1,9})')
+
+
+class ResumePoint(typing.NamedTuple):
+    """An event id: ``REQUEST/ENGINE/NUMBER``."""
+
+    request_id: str
+    engine: str
+    number: int
+
+    def text(self) -> str:
+        """Return the event id."""
+        return f'{self.request_id}/{self.engine}/{self.number}'
+
+    @classmethod
+    def from_header(cls, value: str, organisation: str) -> 'ResumePoint':
+        """Parse ``Last-Event-ID``.
+
+        Raises
+        ------
+        RequestFailed
+            If it is not an event id of this organisation.
+        """
+        match = _PATTERN.fullmatch(value)
+        if match is None or match[1].partition('.')[0] != organisation:
+            raise request_failed.RequestFailed.of(
+                errors.ErrorKind.BAD_REQUEST,
+                'Last-Event-ID is not an id of one of your streams',
+            )
+        return cls(match[1], match[2], int(match[3]))
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration as folded from its stream."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/catalogue/catalogue.py
@@ -0,0 +1,42 @@
+"""The whole configuration at one revision."""
+
+import typing
+
+from foxtailrelay_node.internal.catalogue import options
+
+
+class Catalogue(typing.NamedTuple):
+    """An immutable view of the configuration.
+
+    Parameters
+    ----------
+    revision : int
+        Offset of the newest accepted change; -1 before the first.
+    """
+
+    revision: int = -1
+    service_by_name: dict[str, options.Service] = {}
+    organisation_by_name: dict[str, options.Organisation] = {}
+    backend_by_name: dict[str, options.Backend] = {}
+    placement_rule_by_name: dict[str, options.PlacementRule] = {}
+    operator_by_name: dict[str, options.Operator] = {}
+    grants: frozenset[options.Grant] = frozenset()
+
+    def may_call(self, organisation: str, service: str) -> bool:
+        """Tell whether an organisation may call a service."""
+        wanted = options.Grant('call', service, 'organisation', organisation)
+        return wanted in self.grants
+
+    def may_state(self, operator: str, privilege: str) -> bool:
+        """Tell whether an operator holds a privilege on the system."""
+        wanted = options.Grant(privilege, '', 'operator', operator)
+        admin = wanted._replace(privilege='admin')
+        return wanted in self.grants or admin in self.grants
+
+    def backends_of(self, service: str) -> dict[str, options.Backend]:
+        """Return a service's backend servers that take new work."""
+        return {
+            name: backend
+            for name, backend in self.backend_by_name.items()
+            if backend.service == service and backend.state == 'serving'
+        }
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/catalogue/change.py
@@ -0,0 +1,20 @@
+"""A change of configuration as it stands in the log."""
+
+import typing
+
+
+class Change(typing.TypedDict):
+    """One record of the configuration stream.
+
+    ``base`` is the revision that the operator saw; ``action`` is ``create``,
+    ``alter``, ``drop``, ``grant`` or ``revoke``; ``options`` holds only what
+    the statement sets, with tokens already hashed.
+    """
+
+    change_id: str
+    base: int
+    operator: str
+    action: str
+    object_type: str
+    name: str
+    options: dict[str, typing.Any]
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/catalogue/configuration.py
@@ -0,0 +1,140 @@
+"""The configuration of this node: followed, passed on, and changed."""
+
+import secrets
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import messages
+from foxtailrelay_core import settings as settings_module
+import trio
+
+from foxtailrelay_node.internal.catalogue import catalogue as catalogues
+from foxtailrelay_node.internal.catalogue import catalogue_fold
+from foxtailrelay_node.internal.catalogue import change as changes
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.platform import log_outcomes
+from foxtailrelay_node.internal.streams import batch as batches
+from foxtailrelay_node.internal.streams import group_writer
+from foxtailrelay_node.internal.streams import stream_follower
+from foxtailrelay_node.internal.streams import write_outcomes
+
+STREAM = 'configuration'
+_KEPT_RECORDS = 2000
+_SNAPSHOT_AFTER_RECORDS = 500
+
+
+class Configuration:
+    """Follows the configuration stream and passes it on to other nodes.
+
+    Parameters
+    ----------
+    log : LogClient
+        Where the stream stands.
+    writer_id : str
+        Unique for this start of the node.
+    timings : TimingSettings
+        Waits and timeouts.
+    """
+
+    def __init__(
+        self,
+        log: log_client.LogClient,
+        writer_id: str,
+        timings: settings_module.TimingSettings,
+    ) -> None:
+        self.fold = catalogue_fold.CatalogueFold()
+        self.follower = stream_follower.StreamFollower(
+            log, STREAM, self.fold, timings.log_poll_wait_s, _KEPT_RECORDS
+        )
+        self._writer = group_writer.GroupWriter(
+            log, self.follower, writer_id, timings.log_timeout_s
+        )
+
+    @property
+    def catalogue(self) -> catalogues.Catalogue:
+        """The configuration in force here."""
+        return self.fold.catalogue
+
+    @property
+    def revision(self) -> int:
+        """The newest revision in force here; -1 for none."""
+        return self.fold.catalogue.revision
+
+    @property
+    def append_count(self) -> int:
+        """Appends made to the stream since the start."""
+        return self._writer.append_count
+
+    async def run(self) -> None:
+        """Follow and write the stream until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self._writer.run)
+
+    async def submit(
+        self, change: changes.Change
+    ) -> tuple[int, errors.Failure | None]:
+        """Write a change and return its revision and how it was taken."""
+        outcome = await self._writer.write(dict(change))
+        match outcome:
+            case write_outcomes.Written():
+                return outcome.offset, self.fold.result(change['change_id'])
+            case write_outcomes.WriteRefused():
+                return -1, errors.Failure(
+                    errors.ErrorKind.LOG_UNAVAILABLE,
+                    f'the change was not accepted: {outcome.cause}',
+                )
+            case write_outcomes.WriteUnsettled():
+                return -1, errors.Failure(
+                    errors.ErrorKind.OUTCOME_UNKNOWN,
+                    'the log service did not confirm the change; look '
+                    'whether it is in force before stating it again',
+                )
+
+    async def write_snapshot_if_due(self) -> None:
+        """Write a snapshot when many records came after the last one."""
+        if self.follower.records_since_snapshot >= _SNAPSHOT_AFTER_RECORDS:
+            await self._writer.write_snapshot()
+
+    def new_change_id(self) -> str:
+        """Return a fresh id for a change."""
+        return secrets.token_hex(8)
+
+    def records_from(self, from_offset: int) -> messages.ConfigRecords:
+        """Return what another node lacks from an offset on.
+
+        These are raw records, or one snapshot where the records are no
+        longer kept here.
+        """
+        recent = self.follower.recent
+        oldest = recent[0].offset if recent else self.follower.next_offset
+        if from_offset >= oldest:
+            return messages.ConfigRecords(
+                self.revision,
+                tuple(
+                    messages.ConfigRecord(record.offset, record.data)
+                    for record in recent
+                    if record.offset >= from_offset
+                ),
+            )
+        snapshot = batches.Batch(
+            '', snapshot=self.fold.snapshot(), covers=self.follower.next_offset
+        )
+        return messages.ConfigRecords(
+            self.revision,
+            (messages.ConfigRecord(snapshot.covers, snapshot.to_bytes()),),
+        )
+
+    def take_records(self, records: messages.ConfigRecords) -> None:
+        """Apply what another node passed on."""
+        for record in records.records:
+            batch = batches.Batch.from_bytes(record.data)
+            if batch is not None and batch.snapshot is not None:
+                self.follower.restore(batch)
+        self.follower.apply_records(
+            tuple(
+                log_outcomes.LogRecord(record.offset, record.data)
+                for record in records.records
+            )
+        )
+        if self.revision >= records.revision:
+            self.follower.caught_up.set()
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The request ledger: at most once, and accepted survives."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/partition.py
@@ -0,0 +1,105 @@
+"""One partition of the ledger on this node."""
+
+import time
+import typing
+
+from foxtailrelay_core import settings as settings_module
+import trio
+
+from foxtailrelay_node.internal.ledger import entry as entries
+from foxtailrelay_node.internal.ledger import ledger_fold
+from foxtailrelay_node.internal.ledger import record as records
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.streams import group_writer
+from foxtailrelay_node.internal.streams import stream_follower
+from foxtailrelay_node.internal.streams import write_outcomes
+
+_SNAPSHOT_AFTER_RECORDS = 2000
+
+
+class Partition:
+    """Follows and writes one ledger stream.
+
+    Parameters
+    ----------
+    number : int
+        Number of the partition.
+    log : LogClient
+        Where the stream stands.
+    holder : str
+        ``node/incarnation`` of this node.
+    timings : TimingSettings
+        Waits and timeouts.
+    unix_time : callable
+        Returns Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        log: log_client.LogClient,
+        holder: str,
+        timings: settings_module.TimingSettings,
+        unix_time: typing.Callable[[], float] = time.time,
+    ) -> None:
+        self.number = number
+        self.fold = ledger_fold.LedgerFold(timings.key_window_s)
+        self.follower = stream_follower.StreamFollower(
+            log, f'ledger-{number}', self.fold, timings.log_poll_wait_s
+        )
+        self._holder = holder
+        self._unix_time = unix_time
+        self._writer = group_writer.GroupWriter(
+            log, self.follower, f'{holder}-{number}', timings.log_timeout_s
+        )
+
+    @property
+    def append_count(self) -> int:
+        """Appends made to the stream since the start."""
+        return self._writer.append_count
+
+    def entry(self, key: str) -> entries.LedgerEntry | None:
+        """Return the state of a key."""
+        return self.fold.entry_by_key.get(key)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Follow and write until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self._writer.run)
+            task_status.started()
+
+    async def write(
+        self,
+        kind: records.RecordKind,
+        key: str,
+        attempt: int,
+        **fields: typing.Any,
+    ) -> write_outcomes.WriteOutcome:
+        """Write one record of this node."""
+        record = records.LedgerRecord(
+            kind=kind.value,
+            key=key,
+            attempt=attempt,
+            holder=self._holder,
+            time_s=self._unix_time(),
+            **fields,
+        )
+        return await self._writer.write(dict(record))
+
+    def holds(self, key: str, attempt: int, request_id: str, state) -> bool:
+        """Tell whether this node's request holds a key in a state."""
+        entry = self.entry(key)
+        return (
+            entry is not None
+            and entry.state is state
+            and entry.holder == self._holder
+            and entry.attempt == attempt
+            and entry.request_id == request_id
+        )
+
+    async def write_snapshot_if_due(self) -> None:
+        """Write a snapshot when many records came after the last one."""
+        due = max(_SNAPSHOT_AFTER_RECORDS, len(self.fold.entry_by_key))
+        if self.follower.records_since_snapshot >= due:
+            await self._writer.write_snapshot()
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, heartbeats and links between nodes."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/members/membership.py
@@ -0,0 +1,239 @@
+"""The view of the cluster: who is alive, suspected, leaving or dead.
+
+A node's own word counts most: it answers a suspicion of itself with a
+higher incarnation.  Of two statements about a node, the one with the higher
+incarnation wins, and at the same incarnation the worse state.
+"""
+
+import math
+import typing
+
+from foxtailrelay_core import messages
+from foxtailrelay_core import settings as settings_module
+import logbook
+import trio
+import xxhash
+
+from foxtailrelay_node.internal.ledger import node_view
+from foxtailrelay_node.internal.members import member as members
+
+_LOG = logbook.Logger('foxtailrelay.members')
+_State = messages.MemberState
+_LARGEST_DIGEST = 12
+_TRANSMISSIONS_PER_DOUBLING = 3
+_FORGET_DEAD_S = 120.0
+NEIGHBOUR_COUNT = 4
+
+
+class Membership(node_view.NodeView):
+    """Keeps the view and decides what to pass on.
+
+    Parameters
+    ----------
+    own : MemberDigest
+        This node, alive.
+    seeds : iterable of PeerAddress
+        Nodes to try before any has been heard of.
+    timings : TimingSettings
+        When a silent node is suspected and when it counts as dead.
+    """
+
+    def __init__(
+        self,
+        own: messages.MemberDigest,
+        seeds: typing.Iterable[settings_module.PeerAddress],
+        timings: settings_module.TimingSettings,
+    ) -> None:
+        self.own = own
+        self.changed = trio.Event()
+        self._timings = timings
+        self._member_by_id: dict[str, members.Member] = {}
+        self._transmissions_left_by_id: dict[str, int] = {}
+        self._keep(own)
+        self._seed_by_id = {
+            seed.id: seed for seed in seeds if seed.id != own.node_id
+        }
+
+    def members(self) -> dict[str, messages.MemberDigest]:
+        """Return all known nodes by id, this one included."""
+        return {
+            node_id: member.digest
+            for node_id, member in self._member_by_id.items()
+        }
+
+    def active_node_ids(self) -> list[str]:
+        """Return the nodes that take work, sorted."""
+        active = [
+            node_id
+            for node_id, member in self._member_by_id.items()
+            if member.digest.state in (_State.ALIVE, _State.SUSPECT)
+        ]
+        return sorted(active) or [self.own.node_id]
+
+    def is_gone(self, holder: str) -> bool:
+        """Tell whether ``node/incarnation`` seems to be gone for good."""
+        node_id, _, started = holder.partition('/')
+        member = self._member_by_id.get(node_id)
+        if member is None:
+            return True
+        if member.digest.state is _State.DEAD:
+            return True
+        # A restarted node has a new start time; what the earlier process
+        # held is orphaned although the node is alive.
+        return started != str(self.started_of(member.digest))
+
+    @staticmethod
+    def started_of(digest: messages.MemberDigest) -> int:
+        """Return the start time that an incarnation was made from."""
+        return digest.incarnation >> 16
+
+    def neighbours(self) -> list[messages.MemberDigest]:
+        """Return the nodes that this node heartbeats.
+
+        A bounded number, so that the cost does not grow with the cluster:
+        the closest by a hash of both names, which makes a random graph.
+        """
+        candidates = self._reachable_candidates()
+        own_id = self.own.node_id
+
+        def distance(digest: messages.MemberDigest) -> int:
+            pair = '/'.join(sorted((own_id, digest.node_id)))
+            return xxhash.xxh64_intdigest(pair.encode())
+
+        return sorted(candidates, key=distance)[:NEIGHBOUR_COUNT]
+
+    def address_of(self, node_id: str) -> messages.MemberDigest | None:
+        """Return a node's digest if it may be called."""
+        member = self._member_by_id.get(node_id)
+        if member is None or member.digest.state is _State.DEAD:
+            return None
+        return member.digest
+
+    def leave(self) -> None:
+        """Say that this node is leaving."""
+        self.own = self.own._replace(state=_State.LEAVING)
+        self._keep(self.own)
+
+    def digest_to_send(self) -> tuple[messages.MemberDigest, ...]:
+        """Return recent changes, each a bounded number of times."""
+        chosen = sorted(
+            self._transmissions_left_by_id,
+            key=self._transmissions_left_by_id.get,
+            reverse=True,
+        )[:_LARGEST_DIGEST]
+        for node_id in chosen:
+            self._transmissions_left_by_id[node_id] -= 1
+            if self._transmissions_left_by_id[node_id] <= 0:
+                del self._transmissions_left_by_id[node_id]
+        return tuple(self._member_by_id[node_id].digest for node_id in chosen)
+
+    def full_digest(self) -> tuple[messages.MemberDigest, ...]:
+        """Return all known nodes, for a node met for the first time."""
+        return tuple(member.digest for member in self._member_by_id.values())
+
+    def merge(self, digests: typing.Iterable[messages.MemberDigest]) -> None:
+        """Take in what another node says."""
+        for digest in digests:
+            if digest.node_id == self.own.node_id:
+                self._refute(digest)
+            elif self._is_news(digest):
+                self._keep(digest)
+
+    def heard_from(self, digest: messages.MemberDigest) -> None:
+        """Note that a node has just spoken to this one itself."""
+        self.merge((digest,))
+
+    def suspect(self, node_id: str) -> None:
+        """Note that a node does not answer this one."""
+        member = self._member_by_id.get(node_id)
+        if member is not None and member.digest.state is _State.ALIVE:
+            self._keep(member.digest._replace(state=_State.SUSPECT))
+
+    def note_vm_gone(self, node_id: str) -> None:
+        """Note that the platform has taken a node's VM away."""
+        member = self._member_by_id.get(node_id)
+        if member is not None and member.digest.state is not _State.DEAD:
+            self._keep(member.digest._replace(state=_State.DEAD))
+
+    async def run(self) -> None:
+        """Turn lasting suspicion into death, until cancelled."""
+        while True:
+            self._expire()
+            await trio.sleep(self._timings.heartbeat_interval_s)
+
+    def _expire(self) -> None:
+        now = trio.current_time()
+        dead_after_s = {
+            _State.SUSPECT: self._timings.peer_dead_s
+            - self._timings.peer_suspect_s,
+            _State.LEAVING: self._timings.drain_timeout_s
+            + self._timings.peer_dead_s,
+        }
+        for node_id, member in list(self._member_by_id.items()):
+            if node_id == self.own.node_id:
+                continue
+            state = member.digest.state
+            age_s = now - member.since_s
+            if state is _State.DEAD and age_s > _FORGET_DEAD_S:
+                del self._member_by_id[node_id]
+                self._transmissions_left_by_id.pop(node_id, None)
+            elif age_s > dead_after_s.get(state, math.inf):
+                self._keep(member.digest._replace(state=_State.DEAD))
+
+    def _reachable_candidates(self) -> list[messages.MemberDigest]:
+        """Return known live nodes, and seeds not heard of yet."""
+        known = [
+            member.digest
+            for node_id, member in self._member_by_id.items()
+            if node_id != self.own.node_id
+            and member.digest.state is not _State.DEAD
+        ]
+        unheard = [
+            messages.MemberDigest(
+                seed.id, seed.zone, seed.host, seed.port, 0, _State.ALIVE
+            )
+            for seed in self._seed_by_id.values()
+            if seed.id not in self._member_by_id
+            or self._member_by_id[seed.id].digest.state is _State.DEAD
+        ]
+        return known + unheard
+
+    def _is_news(self, digest: messages.MemberDigest) -> bool:
+        member = self._member_by_id.get(digest.node_id)
+        if member is None:
+            return digest.state is not _State.DEAD
+        known = member.digest
+        return (digest.incarnation, digest.state) > (
+            known.incarnation,
+            known.state,
+        )
+
+    def _refute(self, digest: messages.MemberDigest) -> None:
+        """Answer a wrong statement about this node itself."""
+        wrong = (digest.incarnation, digest.state) > (
+            self.own.incarnation,
+            self.own.state,
+        )
+        if wrong:
+            incarnation = digest.incarnation + 1
+            self.own = self.own._replace(incarnation=incarnation)
+            _LOG.info('refute suspicion of this node')
+            self._keep(self.own)
+
+    def _keep(self, digest: messages.MemberDigest) -> None:
+        """Note a new state of a node and pass it on."""
+        self._member_by_id[digest.node_id] = members.Member(
+            digest, trio.current_time()
+        )
+        doublings = math.ceil(math.log2(len(self._member_by_id) + 1))
+        self._transmissions_left_by_id[digest.node_id] = (
+            _TRANSMISSIONS_PER_DOUBLING * doublings
+        )
+        _LOG.info(
+            'member node={} state={} incarnation={}',
+            digest.node_id,
+            digest.state.name.lower(),
+            digest.incarnation,
+        )
+        self.changed.set()
+        self.changed = trio.Event()
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/members/peer_link.py
@@ -0,0 +1,78 @@
+"""The dialling end of one connection to another node."""
+
+import itertools
+
+from foxtailrelay_core import messages
+import trio
+
+
+class LinkClosed(Exception):
+    """The connection ended before the answer came."""
+
+
+class _PendingAnswer:
+    """An answer that a request waits for."""
+
+    def __init__(self) -> None:
+        self.arrived = trio.Event()
+        self.message: messages.Message | None = None
+
+
+class PeerLink:
+    """Sends requests and matches their answers by id.
+
+    An answer that is late, after its request has been given up, finds no
+    request and is dropped.
+
+    Parameters
+    ----------
+    frames : FrameStream
+        The connection, after the handshake.
+    """
+
+    def __init__(self, frames: messages.FrameStream) -> None:
+        self._frames = frames
+        self._next_id = itertools.count(1)
+        self._pending_by_id: dict[int, _PendingAnswer] = {}
+        self._closed = False
+
+    async def request(
+        self, message: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        """Send a message and return its answer.
+
+        Raises
+        ------
+        LinkClosed
+            If the connection ended or no answer came in time.
+        """
+        if self._closed:
+            raise LinkClosed('closed')
+        message_id = next(self._next_id)
+        pending = _PendingAnswer()
+        self._pending_by_id[message_id] = pending
+        try:
+            with trio.move_on_after(timeout_s):
+                await self._frames.send(message_id, message)
+                await pending.arrived.wait()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkClosed('connection lost') from error
+        finally:
+            del self._pending_by_id[message_id]
+        if pending.message is None:
+            raise LinkClosed('no answer')
+        return pending.message
+
+    async def receive_forever(self) -> None:
+        """Receive answers until the connection ends."""
+        try:
+            while True:
+                message_id, message = await self._frames.receive()
+                pending = self._pending_by_id.get(message_id)
+                if pending is not None:
+                    pending.message = message
+                    pending.arrived.set()
+        finally:
+            self._closed = True
+            for pending in self._pending_by_id.values():
+                pending.arrived.set()
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/members/peer_server.py
@@ -0,0 +1,120 @@
+"""The accepting end of connections from other nodes."""
+
+import typing
+
+from foxtailrelay_core import messages
+import logbook
+import trio
+
+from foxtailrelay_node.internal.catalogue import configuration as configs
+from foxtailrelay_node.internal.members import handshake as handshakes
+from foxtailrelay_node.internal.members import membership as memberships
+
+_LOG = logbook.Logger('foxtailrelay.members')
+
+ForwardHandler = typing.Callable[
+    [messages.ForwardCall], typing.Awaitable[messages.ForwardAnswer]
+]
+
+
+class PeerServer:
+    """Answers the requests of other nodes, one task for each connection.
+
+    Parameters
+    ----------
+    handshake : Handshake
+        Refuses strangers.
+    membership : Membership
+        The view to merge with and to answer from.
+    configuration : Configuration
+        Answers what other nodes lack.
+    forward_handler : callable
+        Runs a forwarded call.
+    silence_s : float
+        A connection without a heartbeat for this long is closed.
+    """
+
+    def __init__(
+        self,
+        handshake: handshakes.Handshake,
+        membership: memberships.Membership,
+        configuration: configs.Configuration,
+        forward_handler: ForwardHandler,
+        silence_s: float,
+    ) -> None:
+        self._handshake = handshake
+        self._membership = membership
+        self._configuration = configuration
+        self._forward_handler = forward_handler
+        self._silence_s = silence_s
+
+    async def serve_connection(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it ends or goes silent."""
+        frames = messages.FrameStream(stream)
+        try:
+            node_id = await self._handshake.accept(frames)
+            async with trio.open_nursery() as nursery:
+                await self._serve_requests(frames, nursery)
+                nursery.cancel_scope.cancel()
+            _LOG.info('connection from {} ended', node_id)
+        except* handshakes.HandshakeError as group:
+            _LOG.warning('refused a connection: {}', group.exceptions[0])
+        except* (
+            messages.FrameError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
+            _LOG.debug('a connection from another node broke')
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(1):
+                await frames.aclose()
+
+    async def _serve_requests(
+        self, frames: messages.FrameStream, nursery: trio.Nursery
+    ) -> None:
+        """Receive requests until the other node falls silent."""
+        while True:
+            with trio.move_on_after(self._silence_s) as scope:
+                message_id, message = await frames.receive()
+            if scope.cancelled_caught:
+                return
+            if isinstance(message, messages.ForwardCall):
+                nursery.start_soon(
+                    self._serve_forward, frames, message_id, message
+                )
+            else:
+                await frames.send(message_id, self._answer(message))
+
+    async def _serve_forward(
+        self,
+        frames: messages.FrameStream,
+        message_id: int,
+        call: messages.ForwardCall,
+    ) -> None:
+        """Run a forwarded call and send its answer back."""
+        answer = await self._forward_handler(call)
+        await frames.send(message_id, answer)
+
+    def _answer(self, message: messages.Message) -> messages.Message:
+        """Answer one request at once."""
+        match message:
+            case messages.Heartbeat():
+                self._membership.merge(message.members)
+                return self._heartbeat()
+            case messages.FetchConfig():
+                return self._configuration.records_from(message.from_offset)
+            case messages.ConfigRecords():
+                self._configuration.take_records(message)
+                return self._heartbeat()
+            case _:
+                return messages.Refusal(
+                    f'{type(message).__name__} is no request'
+                )
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        own = self._membership.own
+        return messages.Heartbeat(
+            self._configuration.revision,
+            own.state is messages.MemberState.LEAVING,
+            (own, *self._membership.digest_to_send()),
+        )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/members/transport.py
@@ -0,0 +1,27 @@
+"""How nodes reach each other."""
+
+import abc
+
+import trio
+
+
+class PeerTransport(abc.ABC):
+    """Opens connections to other nodes."""
+
+    @abc.abstractmethod
+    async def dial(self, host: str, port: int) -> trio.abc.Stream:
+        """Open a connection.
+
+        Raises
+        ------
+        OSError
+            If the node cannot be reached.
+        """
+
+
+class TcpTransport(PeerTransport):
+    """TCP by IP number."""
+
+    async def dial(self, host: str, port: int) -> trio.abc.Stream:
+        """Open a TCP connection."""
+        return await trio.open_tcp_stream(host, port)
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/node.py
@@ -0,0 +1,263 @@
+"""A node: all of its parts, started and stopped together."""
+
+import math
+import time
+
+from foxtailrelay_core import messages
+from foxtailrelay_core import settings as settings_module
+from foxtailrelay_core import tokens
+import logbook
+import trio
+
+from foxtailrelay_node.internal.callers import app as apps
+from foxtailrelay_node.internal.callers import authenticator
+from foxtailrelay_node.internal.callers import model_dispatcher
+from foxtailrelay_node.internal.callers import model_endpoint
+from foxtailrelay_node.internal.callers import plain_endpoint
+from foxtailrelay_node.internal.catalogue import configuration as configs
+from foxtailrelay_node.internal.ledger import ledger as ledgers
+from foxtailrelay_node.internal.ledger import sender as senders
+from foxtailrelay_node.internal.members import handshake as handshakes
+from foxtailrelay_node.internal.members import link_keeper
+from foxtailrelay_node.internal.members import membership as memberships
+from foxtailrelay_node.internal.members import peer_server
+from foxtailrelay_node.internal import metrics as metrics_module
+from foxtailrelay_node.internal import node_status
+from foxtailrelay_node.internal import notice_watch
+from foxtailrelay_node.internal.operators import endpoint
+from foxtailrelay_node.internal.operators import executor
+from foxtailrelay_node.internal.operators import tables
+from foxtailrelay_node.internal import platform_clients
+from foxtailrelay_node.internal.routing import cost_policy
+from foxtailrelay_node.internal.routing import engine_watch
+from foxtailrelay_node.internal.routing import model_router
+from foxtailrelay_node.internal.routing import organisation_limits
+from foxtailrelay_node.internal.routing import plain_router
+
+_LOG = logbook.Logger('foxtailrelay.node')
+_BALANCER_NOTICE_S = 1.0
+_DRAIN_POLL_S = 0.05
+_RECLAIM_MARGIN_S = 1.0
+_INCARNATION_SHIFT_BITS = 16
+
+
+class Node:
+    """One node and its parts.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    clients : PlatformClients
+        How to reach the platform, backend servers and other nodes.
+    started_ms : int
+        Unix time of the start in milliseconds; a restart has a later one.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.NodeSettings,
+        clients: platform_clients.PlatformClients,
+        started_ms: int,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics_module.Metrics()
+        self.holder = f'{settings.node.id}/{started_ms}'
+        self.leaving_vms: set[str] = set()
+        self.left = trio.Event()
+        self._leave_requested = trio.Event()
+        self._drain_timeout_s = settings.timings.drain_timeout_s
+        self.membership = memberships.Membership(
+            _own_digest(settings, started_ms),
+            settings.cluster.peers,
+            settings.timings,
+        )
+        self.configuration = configs.Configuration(
+            clients.log, self.holder, settings.timings
+        )
+        handshake = handshakes.Handshake(
+            settings.cluster.name, settings.cluster.secret, settings.node.id
+        )
+        self.links = link_keeper.LinkKeeper(
+            handshake,
+            self.membership,
+            self.configuration,
+            clients.transport,
+            settings.timings,
+        )
+        self.engine_watch = engine_watch.EngineWatch(
+            clients.engines,
+            self.configuration,
+            self.leaving_vms,
+            settings.timings.engine_poll_interval_s,
+        )
+        plain_routing = plain_router.PlainRouter(
+            settings.node.zone, self._catalogue, self.leaving_vms
+        )
+        self.ledger = ledgers.Ledger(
+            clients.log,
+            self.holder,
+            self.membership,
+            self._catalogue,
+            senders.Sender(clients.backends, plain_routing),
+            settings.timings,
+        )
+        self.status = node_status.NodeStatus(
+            settings.limits, self.configuration, self.ledger
+        )
+        self.plain = plain_endpoint.PlainEndpoint(
+            settings.node.id,
+            self.ledger,
+            self.links,
+            plain_routing,
+            clients.backends,
+            settings.routing,
+        )
+        router = model_router.ModelRouter(
+            self.engine_watch, cost_policy.CostPolicy(settings.routing)
+        )
+        self.dispatcher = model_dispatcher.ModelDispatcher(
+            clients.engines,
+            self.engine_watch,
+            router,
+            self.metrics,
+            settings.routing,
+        )
+        self.peer_server = peer_server.PeerServer(
+            handshake,
+            self.membership,
+            self.configuration,
+            self.plain.run_forwarded,
+            settings.timings.peer_dead_s,
+        )
+        self._notices = notice_watch.NoticeWatch(
+            clients.cloud,
+            self.leaving_vms,
+            settings.node.id,
+            self._on_own_notice,
+        )
+        self.executor = self._make_executor(clients)
+
+    @classmethod
+    def from_settings(cls, settings: settings_module.NodeSettings) -> 'Node':
+        """Build a node that reaches everything over the network."""
+        return cls(
+            settings,
+            platform_clients.PlatformClients.from_settings(settings),
+            time.time_ns() // 1_000_000,
+        )
+
+    def build_app(self):
+        """Return the node's HTTP application."""
+        parts = apps.AppParts(
+            settings=self.settings,
+            catalogue=self._catalogue,
+            status=self.status,
+            metrics=self.metrics,
+            limits=organisation_limits.OrganisationLimits(
+                self._catalogue,
+                lambda: len(self.membership.active_node_ids()),
+            ),
+            models=model_endpoint.ModelEndpoint(self.dispatcher),
+            plain=self.plain,
+            ledger=self.ledger,
+            operators=endpoint.OperatorEndpoint(self.executor),
+            organisation_tokens=authenticator.Authenticator(
+                self._organisation_hash
+            ),
+            operator_tokens=authenticator.Authenticator(self._operator_hash),
+        )
+        return apps.CallerApp(parts).build()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run all parts until the node has left."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.engine_watch.run)
+            nursery.start_soon(self._notices.run)
+            nursery.start_soon(self._write_snapshots)
+            await nursery.start(self.links.run)
+            await nursery.start(self.ledger.run)
+            task_status.started()
+            await self._leave_requested.wait()
+            await self._drain()
+            self.left.set()
+            nursery.cancel_scope.cancel()
+
+    def request_leave(self, within_s: float = math.inf) -> None:
+        """Begin to leave: finish or hand over everything, then end."""
+        self._drain_timeout_s = min(self._drain_timeout_s, within_s)
+        self._leave_requested.set()
+
+    async def _drain(self) -> None:
+        """Serve what is here until nothing is left, or time is up."""
+        _LOG.info('leaving, at most {:.1f} s', self._drain_timeout_s)
+        self.status.leaving = True
+        self.membership.leave()
+        self.ledger.leave()
+        with trio.move_on_after(self._drain_timeout_s):
+            await trio.sleep(_BALANCER_NOTICE_S)
+            while self.status.in_flight > 0 or not self.ledger.is_settled():
+                await trio.sleep(_DRAIN_POLL_S)
+        _LOG.info('left with {} requests in flight', self.status.in_flight)
+
+    def _on_own_notice(self, seconds: float) -> None:
+        self.request_leave(max(0.0, seconds - _RECLAIM_MARGIN_S))
+
+    async def _write_snapshots(self) -> None:
+        """Let the first active node write configuration snapshots."""
+        while True:
+            await trio.sleep(self.settings.timings.peer_dead_s)
+            if self.membership.active_node_ids()[0] == self.settings.node.id:
+                await self.configuration.write_snapshot_if_due()
+
+    def _catalogue(self):
+        return self.configuration.catalogue
+
+    def _organisation_hash(self, name: str) -> tokens.SaltedHash | None:
+        organisation = self._catalogue().organisation_by_name.get(name)
+        if organisation is None:
+            return None
+        return tokens.SaltedHash(organisation.salt, organisation.token_hash)
+
+    def _operator_hash(self, name: str) -> tokens.SaltedHash | None:
+        for account in self.settings.operators:
+            if account.name == name:
+                return tokens.SaltedHash(account.salt, account.token_hash)
+        operator = self._catalogue().operator_by_name.get(name)
+        if operator is None:
+            return None
+        return tokens.SaltedHash(operator.salt, operator.token_hash)
+
+    def _make_executor(
+        self, clients: platform_clients.PlatformClients
+    ) -> executor.Executor:
+        table_by_name = {
+            'engines': tables.EnginesTable(self.engine_watch),
+            'vms': tables.VmsTable(clients.cloud, self.leaving_vms),
+            'requests': tables.RequestsTable(self.ledger),
+            'services': tables.ServicesTable(self.configuration),
+            'spending': tables.SpendingTable(self.metrics),
+            'backlog': tables.BacklogTable(
+                self.configuration, self.engine_watch, self.ledger
+            ),
+            'revisions': tables.RevisionsTable(self.membership, self.links),
+        }
+        names = frozenset(a.name for a in self.settings.operators)
+        return executor.Executor(
+            self.configuration, self.links, table_by_name, names
+        )
+
+
+def _own_digest(
+    settings: settings_module.NodeSettings, started_ms: int
+) -> messages.MemberDigest:
+    return messages.MemberDigest(
+        settings.node.id,
+        settings.node.zone,
+        settings.node.host,
+        settings.node.peer_port,
+        started_ms << _INCARNATION_SHIFT_BITS,
+        messages.MemberState.ALIVE,
+    )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying out operator statements."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/operators/tables.py
@@ -0,0 +1,242 @@
+"""The tables that operators can read."""
+
+import abc
+import typing
+
+from foxtailrelay_core import errors
+import trio
+
+from foxtailrelay_node.internal.catalogue import configuration as configs
+from foxtailrelay_node.internal.ledger import ledger as ledgers
+from foxtailrelay_node.internal.members import link_keeper
+from foxtailrelay_node.internal.members import membership as memberships
+from foxtailrelay_node.internal import metrics as metrics_module
+from foxtailrelay_node.internal.platform import cloud_client
+from foxtailrelay_node.internal.routing import engine_watch
+
+Row = dict[str, typing.Any]
+_ASK_TIMEOUT_S = 1.0
+
+
+class TableUnavailable(Exception):
+    """The table cannot be read just now."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class Table(abc.ABC):
+    """One table; its columns are named in :attr:`columns`."""
+
+    columns: tuple[str, ...]
+
+    @abc.abstractmethod
+    async def rows(self) -> list[Row]:
+        """Return all rows.
+
+        Raises
+        ------
+        TableUnavailable
+            If the source of the table does not answer.
+        """
+
+
+class EnginesTable(Table):
+    """Model engines as this node sees them."""
+
+    columns = (
+        'name', 'service', 'zone', 'vm', 'vm_class', 'price', 'state',
+        'reachable', 'own_requests', 'queued_tokens', 'running', 'slots',
+        'prefill_tokens_per_s',
+    )  # fmt: skip
+
+    def __init__(self, watch: engine_watch.EngineWatch) -> None:
+        self._watch = watch
+
+    async def rows(self) -> list[Row]:
+        """Return all rows."""
+        return [
+            {
+                'name': engine.name,
+                'service': engine.backend.service,
+                'zone': engine.backend.zone,
+                'vm': engine.backend.vm,
+                'vm_class': engine.backend.vm_class,
+                'price': engine.backend.price,
+                'state': engine.backend.state,
+                'reachable': engine.is_reachable,
+                'own_requests': engine.own_requests,
+                'queued_tokens': round(engine.expected_queue_tokens()),
+                'running': engine.report['running'] if engine.report else 0,
+                'slots': engine.backend.slots,
+                'prefill_tokens_per_s': round(engine.prefill_tokens_per_s),
+            }
+            for engine in self._watch.engines()
+        ]
+
+
+class VmsTable(Table):
+    """The platform's lagging list of VMs."""
+
+    columns = ('id', 'zone', 'vm_class', 'price', 'state')
+
+    def __init__(
+        self, cloud: cloud_client.CloudClient, leaving_vms: set[str]
+    ) -> None:
+        self._cloud = cloud
+        self._leaving_vms = leaving_vms
+
+    async def rows(self) -> list[Row]:
+        """Return all rows, leaving VMs marked as the notices say."""
+        vms = await self._cloud.list_vms()
+        if vms is None:
+            raise TableUnavailable(
+                errors.Failure(
+                    errors.ErrorKind.NO_BACKEND,
+                    'the cloud API does not answer; ask again later',
+                )
+            )
+        return [
+            dict(vm)
+            | ({'state': 'leaving'} if vm['id'] in self._leaving_vms else {})
+            for vm in vms
+        ]
+
+
+class RequestsTable(Table):
+    """Unfinished requests of the ledger that this node knows."""
+
+    columns = ('key', 'service', 'state', 'attempt', 'holder', 'cause')
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        self._ledger = ledger
+
+    async def rows(self) -> list[Row]:
+        """Return all rows."""
+        return [
+            {
+                'key': entry.key,
+                'service': entry.service,
+                'state': entry.state.value,
+                'attempt': entry.attempt,
+                'holder': entry.holder,
+                'cause': entry.cause,
+            }
+            for entry in self._ledger.open_entries()
+        ]
+
+
+class ServicesTable(Table):
+    """Services and how many of their backend servers take work."""
+
+    columns = ('name', 'kind', 'idempotent', 'serving', 'backends')
+
+    def __init__(self, configuration: configs.Configuration) -> None:
+        self._configuration = configuration
+
+    async def rows(self) -> list[Row]:
+        """Return all rows."""
+        catalogue = self._configuration.catalogue
+        return [
+            {
+                'name': name,
+                'kind': service.kind,
+                'idempotent': service.idempotent,
+                'serving': len(catalogue.backends_of(name)),
+                'backends': sum(
+                    backend.service == name
+                    for backend in catalogue.backend_by_name.values()
+                ),
+            }
+            for name, service in catalogue.service_by_name.items()
+        ]
+
+
+class SpendingTable(Table):
+    """Estimated cost by service and organisation, at this node."""
+
+    columns = ('service', 'organisation', 'cost')
+
+    def __init__(self, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+
+    async def rows(self) -> list[Row]:
+        """Return all rows."""
+        return [
+            {**sample.labels, 'cost': sample.value}
+            for family in self._metrics.cost.collect()
+            for sample in family.samples
+            if sample.name.endswith('_total')
+        ]
+
+
+class BacklogTable(Table):
+    """Work that waits or runs, by service, at this node."""
+
+    columns = ('service', 'running', 'accepted', 'unknown', 'queued_tokens')
+
+    def __init__(
+        self,
+        configuration: configs.Configuration,
+        watch: engine_watch.EngineWatch,
+        ledger: ledgers.Ledger,
+    ) -> None:
+        self._configuration = configuration
+        self._watch = watch
+        self._ledger = ledger
+
+    async def rows(self) -> list[Row]:
+        """Return all rows."""
+        return [
+            self._row(name)
+            for name in self._configuration.catalogue.service_by_name
+        ]
+
+    def _row(self, service: str) -> Row:
+        states = [
+            entry.state.value
+            for entry in self._ledger.open_entries()
+            if entry.service == service
+        ]
+        engines = [
+            engine
+            for engine in self._watch.engines()
+            if engine.backend.service == service
+        ]
+        running = sum(engine.own_requests for engine in engines)
+        return {
+            'service': service,
+            'running': running + states.count('dispatching'),
+            'accepted': states.count('accepted') + states.count('released'),
+            'unknown': states.count('unknown'),
+            'queued_tokens': round(
+                sum(engine.expected_queue_tokens() for engine in engines)
+            ),
+        }
+
+
+class RevisionsTable(Table):
+    """Nodes and the configuration revision in force at each."""
+
+    columns = ('node', 'zone', 'state', 'revision')
+
+    def __init__(
+        self, membership: memberships.Membership, links: link_keeper.LinkKeeper
+    ) -> None:
+        self._membership = membership
+        self._links = links
+
+    async def rows(self) -> list[Row]:
+        """Return all rows; a node that does not answer has no revision."""
+        with trio.move_on_after(2 * _ASK_TIMEOUT_S):
+            revision_by_id = await self._links.revision_by_id(_ASK_TIMEOUT_S)
+        return [
+            {
+                'node': node_id,
+                'zone': digest.zone,
+                'state': digest.state.name.lower(),
+                'revision': revision_by_id.get(node_id),
+            }
+            for node_id, digest in sorted(self._membership.members().items())
+        ]
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform and of backend servers."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/platform/http_cloud_client.py
@@ -0,0 +1,43 @@
+"""The cloud API over HTTP."""
+
+import json
+
+from foxtailrelay_node.internal.platform import cloud_client
+from foxtailrelay_node.internal.platform import http_caller
+from foxtailrelay_node.internal.platform import http_outcomes
+
+_OK = 200
+
+
+class HttpCloudClient(cloud_client.CloudClient):
+    """Speaks the cloud's HTTP interface."""
+
+    def __init__(
+        self, caller: http_caller.HttpCaller, base_url: str, timeout_s: float
+    ) -> None:
+        self._caller = caller
+        self._base_url = base_url.rstrip('/')
+        self._timeout_s = timeout_s
+
+    async def list_vms(self) -> list[cloud_client.VmRecord] | None:
+        """Return the lagging list of VMs."""
+        answer = await self._get('/vms', 0)
+        return None if answer is None else answer['vms']
+
+    async def notices(
+        self, from_sequence: int, wait_s: float
+    ) -> list[cloud_client.ReclaimNotice] | None:
+        """Return notices from a sequence number on, waiting for one."""
+        path = f'/notices?from={from_sequence}&wait_s={wait_s}'
+        answer = await self._get(path, wait_s)
+        return None if answer is None else answer['notices']
+
+    async def _get(self, path: str, wait_s: float):
+        outcome = await self._caller.call(
+            'GET', f'{self._base_url}{path}', self._timeout_s + wait_s
+        )
+        if not isinstance(outcome, http_outcomes.HttpAnswer):
+            return None
+        if outcome.status != _OK:
+            return None
+        return json.loads(outcome.body)
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/platform/http_log_client.py
@@ -0,0 +1,78 @@
+"""The log service over HTTP."""
+
+import base64
+import json
+
+from foxtailrelay_node.internal.platform import http_caller
+from foxtailrelay_node.internal.platform import http_outcomes
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.platform import log_outcomes
+
+_OK = 200
+_GONE = 410
+_RECORDS_PER_READ = 1000
+
+
+class HttpLogClient(log_client.LogClient):
+    """Speaks the log service's HTTP interface.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Makes the calls.
+    base_url : str
+        Address of the service.
+    timeout_s : float
+        Longest time for a call, on top of the wait of a read.
+    """
+
+    def __init__(
+        self, caller: http_caller.HttpCaller, base_url: str, timeout_s: float
+    ) -> None:
+        self._caller = caller
+        self._base_url = base_url.rstrip('/')
+        self._timeout_s = timeout_s
+
+    async def append(
+        self, stream: str, data: bytes
+    ) -> log_outcomes.AppendOutcome:
+        """Append one record."""
+        outcome = await self._caller.call(
+            'POST',
+            f'{self._base_url}/streams/{stream}',
+            self._timeout_s,
+            body=data,
+        )
+        match outcome:
+            case http_outcomes.HttpAnswer(status=200):
+                answer = json.loads(outcome.body)
+                return log_outcomes.Appended(answer['offset'])
+            case http_outcomes.HttpAnswer():
+                return log_outcomes.AppendRefused(f'status {outcome.status}')
+            case http_outcomes.NotSent():
+                return log_outcomes.AppendRefused(outcome.cause)
+            case http_outcomes.Unclear():
+                return log_outcomes.AppendUnsettled(outcome.cause)
+
+    async def read(
+        self, stream: str, from_offset: int, wait_s: float
+    ) -> log_outcomes.ReadOutcome:
+        """Read records from an offset on."""
+        url = (
+            f'{self._base_url}/streams/{stream}?from={from_offset}'
+            f'&limit={_RECORDS_PER_READ}&wait_s={wait_s}'
+        )
+        outcome = await self._caller.call('GET', url, self._timeout_s + wait_s)
+        if not isinstance(outcome, http_outcomes.HttpAnswer):
+            return log_outcomes.ReadFailed(outcome.cause)
+        if outcome.status not in (_OK, _GONE):
+            return log_outcomes.ReadFailed(f'status {outcome.status}')
+        answer = json.loads(outcome.body)
+        if outcome.status == _GONE:
+            return log_outcomes.Expired(answer['first_offset'])
+        first = max(from_offset, answer['first_offset'])
+        records = tuple(
+            log_outcomes.LogRecord(first + index, base64.b64decode(data))
+            for index, data in enumerate(answer['records'])
+        )
+        return log_outcomes.Page(records, answer['next_offset'])
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/platform_clients.py
@@ -0,0 +1,57 @@
+"""Everything outside that a node talks to."""
+
+import typing
+
+from foxtailrelay_core import settings as settings_module
+
+from foxtailrelay_node.internal.members import transport
+from foxtailrelay_node.internal.platform import backend_client
+from foxtailrelay_node.internal.platform import cloud_client
+from foxtailrelay_node.internal.platform import engine_client
+from foxtailrelay_node.internal.platform import http_backend_client
+from foxtailrelay_node.internal.platform import http_caller
+from foxtailrelay_node.internal.platform import http_cloud_client
+from foxtailrelay_node.internal.platform import http_engine_client
+from foxtailrelay_node.internal.platform import http_log_client
+from foxtailrelay_node.internal.platform import log_client
+
+_LONGEST_PLATFORM_ANSWER_BYTES = 64 << 20
+
+
+class PlatformClients(typing.NamedTuple):
+    """The clients of one node; tests put fakes in their place."""
+
+    log: log_client.LogClient
+    cloud: cloud_client.CloudClient
+    engines: engine_client.EngineClient
+    backends: backend_client.BackendClient
+    transport: transport.PeerTransport
+
+    @classmethod
+    def from_settings(
+        cls, settings: settings_module.NodeSettings
+    ) -> 'PlatformClients':
+        """Build clients that speak HTTP and TCP."""
+        timings = settings.timings
+        platform_caller = http_caller.HttpCaller(
+            timings.connect_timeout_s, _LONGEST_PLATFORM_ANSWER_BYTES
+        )
+        return cls(
+            http_log_client.HttpLogClient(
+                platform_caller,
+                settings.platform.log_url,
+                timings.log_timeout_s,
+            ),
+            http_cloud_client.HttpCloudClient(
+                platform_caller,
+                settings.platform.cloud_url,
+                timings.log_timeout_s,
+            ),
+            http_engine_client.HttpEngineClient(
+                timings.connect_timeout_s, timings.stream_silence_s
+            ),
+            http_backend_client.HttpBackendClient(
+                timings.connect_timeout_s, settings.limits.answer_bytes
+            ),
+            transport.TcpTransport(),
+        )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing backend servers."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/routing/engine_state.py
@@ -0,0 +1,93 @@
+"""What this node knows of one model engine."""
+
+import math
+
+import trio
+
+from foxtailrelay_node.internal.catalogue import options
+from foxtailrelay_node.internal.platform import backend_client
+from foxtailrelay_node.internal.platform import engine_outcomes
+from foxtailrelay_node.internal.routing import prefix_index
+
+_LEARNING_RATE = 0.1
+_REPORT_HALF_LIFE_S = 1.0
+_UNREACHABLE_PAUSE_S = 1.0
+_SMALLEST_LEARNING_TOKENS = 256
+
+
+class EngineState:
+    """Reported load, own work in flight, learned speed, known prefixes.
+
+    Parameters
+    ----------
+    name : str
+        Name of the backend server.
+    backend : Backend
+        Its configuration.
+    """
+
+    def __init__(self, name: str, backend: options.Backend) -> None:
+        self.name = name
+        self.backend = backend
+        self.prefixes = prefix_index.PrefixIndex()
+        self.report: engine_outcomes.LoadReport | None = None
+        self.report_at_s = -math.inf
+        self.prefill_tokens_per_s = backend.prefill_tokens_per_s
+        self.own_requests = 0
+        self.own_queued_tokens = 0.0
+        self.unreachable_until_s = -math.inf
+
+    @property
+    def address(self) -> backend_client.BackendAddress:
+        """Where the engine listens."""
+        return backend_client.BackendAddress(
+            self.name, self.backend.host, self.backend.port
+        )
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether no call has failed just now."""
+        return trio.current_time() >= self.unreachable_until_s
+
+    def note_report(self, report: engine_outcomes.LoadReport) -> None:
+        """Take in a load report."""
+        self.report = report
+        self.report_at_s = trio.current_time()
+        self.unreachable_until_s = -math.inf
+
+    def note_unreachable(self) -> None:
+        """Avoid the engine for a while."""
+        self.unreachable_until_s = trio.current_time() + _UNREACHABLE_PAUSE_S
+
+    def note_prefill(self, computed_tokens: int, seconds: float) -> None:
+        """Learn from the time to first token of an engine without queue."""
+        # The time of a short prompt is mostly that of the first decoding
+        # step, and would make a fast engine look slow.
+        if computed_tokens < _SMALLEST_LEARNING_TOKENS or seconds <= 0:
+            return
+        seen = computed_tokens / seconds
+        self.prefill_tokens_per_s += _LEARNING_RATE * (
+            seen - self.prefill_tokens_per_s
+        )
+
+    def expected_queue_tokens(self) -> float:
+        """Return the prompt tokens expected to be computed first.
+
+        What the engine reported counts less the older it is; what this node
+        sent itself it knows without any delay.
+        """
+        reported = 0.0
+        if self.report is not None:
+            age_s = trio.current_time() - self.report_at_s
+            weight = 0.5 ** (age_s / _REPORT_HALF_LIFE_S)
+            reported = weight * self.report['queued_tokens']
+        return max(reported, self.own_queued_tokens)
+
+    def batch_fullness(self) -> float:
+        """Return the share of the batch in use; above 1 requests wait."""
+        running = self.own_requests
+        slots = self.backend.slots
+        if self.report is not None:
+            running = max(running, self.report['running'])
+            slots = self.report['slots']
+        return running / slots
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/routing/prefix_index.py
@@ -0,0 +1,55 @@
+"""Which prompt prefixes an engine probably has in its cache."""
+
+import collections
+
+from foxtailrelay_node.internal.platform import engine_outcomes
+
+_CAPACITY_BLOCKS = 1 << 16
+_GAP_TRUST = 0.5
+_TRUST_RECOVERY = 0.05
+
+
+class PrefixIndex:
+    """Block hashes sent to an engine, corrected by its cache events.
+
+    After a gap in the events the index is trusted less until further events
+    have come without a gap.
+    """
+
+    def __init__(self) -> None:
+        self.trust = 1.0
+        self.next_sequence = 0
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def expected_cached_blocks(self, hashes: list[int]) -> float:
+        """Return how many leading blocks are expected in the cache."""
+        count = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            count += 1
+        return count * self.trust
+
+    def note_sent(self, hashes: list[int]) -> None:
+        """Note a prompt that the engine will compute."""
+        for block in hashes:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > _CAPACITY_BLOCKS:
+            self._blocks.popitem(last=False)
+
+    def note_events(self, events: list[engine_outcomes.CacheEvent]) -> None:
+        """Take in published events, in order of their sequence."""
+        for event in events:
+            if event['sequence'] < self.next_sequence:
+                continue
+            if event['sequence'] > self.next_sequence:
+                self.trust *= _GAP_TRUST
+            else:
+                self.trust += (1 - self.trust) * _TRUST_RECOVERY
+            self.next_sequence = event['sequence'] + 1
+            self.note_sent(event['stored'])
+            for block in event['evicted']:
+                self._blocks.pop(block, None)
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Followers and writers of the platform's log streams."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/streams/fold.py
@@ -0,0 +1,20 @@
+"""Interface of a state that is folded from a stream."""
+
+import abc
+import typing
+
+
+class Fold(abc.ABC):
+    """State computed from records in offset order, the same on every node."""
+
+    @abc.abstractmethod
+    def apply(self, offset: int, record: dict[str, typing.Any]) -> None:
+        """Apply one record.  Must depend on nothing but the records."""
+
+    @abc.abstractmethod
+    def snapshot(self) -> dict[str, typing.Any]:
+        """Return the whole state as JSON values."""
+
+    @abc.abstractmethod
+    def restore(self, snapshot: dict[str, typing.Any]) -> None:
+        """Replace the state by a snapshot."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/streams/group_writer.py
@@ -0,0 +1,145 @@
+"""Writes records in groups: one append carries all that are waiting."""
+
+import itertools
+import typing
+
+import trio
+
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.platform import log_outcomes
+from foxtailrelay_node.internal.streams import batch as batches
+from foxtailrelay_node.internal.streams import stream_follower
+from foxtailrelay_node.internal.streams import write_outcomes
+
+_LONGEST_BATCH_RECORDS = 500
+
+
+class _Waiting:
+    """One record that waits for its append."""
+
+    def __init__(self, record: dict[str, typing.Any]) -> None:
+        self.record = record
+        self.done = trio.Event()
+        self.outcome: write_outcomes.WriteOutcome | None = None
+
+
+class GroupWriter:
+    """Appends to one stream, one append at a time.
+
+    Parameters
+    ----------
+    log : LogClient
+        Where to append.
+    follower : StreamFollower
+        Reads the same stream; a record counts as written only once the
+        follower has applied it.
+    writer_id : str
+        Unique for this start of the node; part of each batch id.
+    settle_timeout_s : float
+        How long to read for a batch whose answer was lost.
+    """
+
+    def __init__(
+        self,
+        log: log_client.LogClient,
+        follower: stream_follower.StreamFollower,
+        writer_id: str,
+        settle_timeout_s: float,
+    ) -> None:
+        self.append_count = 0
+        self._log = log
+        self._follower = follower
+        self._writer_id = writer_id
+        self._settle_timeout_s = settle_timeout_s
+        self._counter = itertools.count()
+        self._waiting: list[_Waiting] = []
+        self._wakeup = trio.Event()
+
+    async def write(
+        self, record: dict[str, typing.Any]
+    ) -> write_outcomes.WriteOutcome:
+        """Write one record with the next group and wait for the outcome."""
+        waiting = _Waiting(record)
+        self._waiting.append(waiting)
+        self._wakeup.set()
+        try:
+            await waiting.done.wait()
+        except trio.Cancelled:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+            raise
+        return waiting.outcome
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Append groups until cancelled."""
+        task_status.started()
+        while True:
+            if not self._waiting:
+                self._wakeup = trio.Event()
+                await self._wakeup.wait()
+            group = self._waiting[:_LONGEST_BATCH_RECORDS]
+            del self._waiting[:_LONGEST_BATCH_RECORDS]
+            outcome = await self._append(
+                tuple(waiting.record for waiting in group)
+            )
+            for waiting in group:
+                waiting.outcome = outcome
+                waiting.done.set()
+
+    async def write_snapshot(self) -> bool:
+        """Append a snapshot of the fold; False when that failed."""
+        batch = batches.Batch(
+            self._next_batch_id(),
+            snapshot=self._follower.fold.snapshot(),
+            covers=self._follower.next_offset,
+        )
+        self.append_count += 1
+        outcome = await self._log.append(
+            self._follower.stream, batch.to_bytes()
+        )
+        return isinstance(outcome, log_outcomes.Appended)
+
+    async def _append(
+        self, records: tuple[dict[str, typing.Any], ...]
+    ) -> write_outcomes.WriteOutcome:
+        """Append one group and settle its outcome."""
+        batch = batches.Batch(self._next_batch_id(), records)
+        applied = self._follower.watch_batch(batch.batch_id)
+        data = batch.to_bytes()
+        self.append_count += 1
+        try:
+            outcome = await self._log.append(self._follower.stream, data)
+            match outcome:
+                case log_outcomes.AppendRefused():
+                    return write_outcomes.WriteRefused(outcome.cause)
+                case log_outcomes.Appended():
+                    return await self._settle_at(outcome.offset, data)
+                case log_outcomes.AppendUnsettled():
+                    return await self._settle(applied, outcome.cause)
+        finally:
+            self._follower.unwatch_batch(batch.batch_id)
+
+    async def _settle_at(
+        self, offset: int, data: bytes
+    ) -> write_outcomes.WriteOutcome:
+        """Wait until the stream has been read up to our own record."""
+        # Offsets are dense: when ours comes right after what was applied,
+        # nothing stands in between and no read is needed.
+        own = log_outcomes.LogRecord(offset, data)
+        self._follower.apply_records((own,))
+        with trio.move_on_after(self._settle_timeout_s):
+            await self._follower.wait_applied(offset)
+            return write_outcomes.Written(offset)
+        return write_outcomes.WriteUnsettled('the log cannot be read')
+
+    async def _settle(
+        self, applied: trio.Event, cause: str
+    ) -> write_outcomes.WriteOutcome:
+        """Look for a batch whose answer was lost."""
+        with trio.move_on_after(self._settle_timeout_s):
+            await applied.wait()
+            return write_outcomes.Written(self._follower.next_offset - 1)
+        return write_outcomes.WriteUnsettled(cause)
+
+    def _next_batch_id(self) -> str:
+        return f'{self._writer_id}-{next(self._counter)}'
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/streams/stream_follower.py
@@ -0,0 +1,170 @@
+"""Follows one stream of the log and keeps a fold up to date."""
+
+import collections
+
+import logbook
+import trio
+
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.platform import log_outcomes
+from foxtailrelay_node.internal.streams import batch as batches
+from foxtailrelay_node.internal.streams import fold as folds
+
+_LOG = logbook.Logger('foxtailrelay.streams')
+_RETRY_DELAY_S = 0.25
+
+
+class StreamFollower:
+    """Applies a stream's records to a fold, each once and in order.
+
+    Records may come from the log or from another node; those already
+    applied are passed over and a gap is never jumped, so the state only
+    moves forward.
+
+    Parameters
+    ----------
+    log : LogClient
+        Where the stream stands.
+    stream : str
+        Name of the stream.
+    fold : Fold
+        State to keep up to date.
+    poll_wait_s : float
+        How long one read waits for news.
+    kept_records : int
+        How many raw records to keep for other nodes.
+    """
+
+    def __init__(
+        self,
+        log: log_client.LogClient,
+        stream: str,
+        fold: folds.Fold,
+        poll_wait_s: float,
+        kept_records: int = 0,
+    ) -> None:
+        self.stream = stream
+        self.fold = fold
+        self.next_offset = 0
+        self.records_since_snapshot = 0
+        self.caught_up = trio.Event()
+        self.reachable = False
+        self.recent: collections.deque[log_outcomes.LogRecord] = (
+            collections.deque(maxlen=kept_records)
+        )
+        self._log = log
+        self._poll_wait_s = poll_wait_s
+        self._needs_snapshot = False
+        self._first_kept_offset = 0
+        self._progress = trio.Event()
+        self._event_by_batch_id: dict[str, trio.Event] = {}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Follow the stream until cancelled."""
+        task_status.started()
+        while True:
+            wait_s = self._poll_wait_s if self.caught_up.is_set() else 0
+            outcome = await self._log.read(
+                self.stream, self.next_offset, wait_s
+            )
+            self.reachable = not isinstance(outcome, log_outcomes.ReadFailed)
+            match outcome:
+                case log_outcomes.Page():
+                    self.apply_records(outcome.records)
+                    self._note_caught_up(outcome.next_offset)
+                case log_outcomes.Expired():
+                    self._skip_to(outcome.first_offset)
+                case log_outcomes.ReadFailed():
+                    await trio.sleep(_RETRY_DELAY_S)
+
+    def apply_records(
+        self, records: tuple[log_outcomes.LogRecord, ...]
+    ) -> None:
+        """Apply the records that come next; pass over all others."""
+        before = self.next_offset
+        for record in records:
+            if record.offset == self.next_offset:
+                self._apply(record)
+        if self.next_offset != before:
+            self._progress.set()
+            self._progress = trio.Event()
+
+    async def wait_applied(self, offset: int) -> None:
+        """Wait until the record at ``offset`` has been applied."""
+        while self.next_offset <= offset or self._needs_snapshot:
+            await self._progress.wait()
+
+    async def wait_progress(self) -> None:
+        """Wait until any further record has been applied."""
+        await self._progress.wait()
+
+    def watch_batch(self, batch_id: str) -> trio.Event:
+        """Return an event that is set once this batch has been applied."""
+        return self._event_by_batch_id.setdefault(batch_id, trio.Event())
+
+    def unwatch_batch(self, batch_id: str) -> None:
+        """Forget a watched batch."""
+        self._event_by_batch_id.pop(batch_id, None)
+
+    def restore(self, batch: batches.Batch) -> None:
+        """Jump forward to another node's snapshot; never backward."""
+        if batch.covers <= self.next_offset:
+            return
+        self.fold.restore(batch.snapshot)
+        self.next_offset = batch.covers
+        self._needs_snapshot = False
+        self.recent.clear()
+        self._progress.set()
+        self._progress = trio.Event()
+
+    def _apply(self, record: log_outcomes.LogRecord) -> None:
+        """Apply one log record at ``next_offset``."""
+        batch = batches.Batch.from_bytes(record.data)
+        self.next_offset = record.offset + 1
+        self.recent.append(record)
+        if batch is None:
+            _LOG.warning(
+                '{}: record {} is not ours', self.stream, record.offset
+            )
+            return
+        if batch.snapshot is not None:
+            self._meet_snapshot(batch)
+            return
+        if self._needs_snapshot:
+            return
+        self.records_since_snapshot += len(batch.records)
+        for entry in batch.records:
+            self.fold.apply(record.offset, entry)
+        event = self._event_by_batch_id.get(batch.batch_id)
+        if event is not None:
+            event.set()
+
+    def _meet_snapshot(self, batch: batches.Batch) -> None:
+        """Restore from a snapshot if earlier records are out of reach."""
+        self.records_since_snapshot = 0
+        if not self._needs_snapshot:
+            return
+        if batch.covers < self._first_kept_offset:
+            return
+        # Records may stand between the state that the snapshot covers and
+        # the snapshot itself, so following goes on at ``covers``.
+        self.fold.restore(batch.snapshot)
+        self.next_offset = batch.covers
+        self._needs_snapshot = False
+        _LOG.info('{}: restored up to {}', self.stream, batch.covers)
+
+    def _skip_to(self, first_offset: int) -> None:
+        """Go on at the first kept record, waiting for a snapshot.
+
+        The old state stays in force until then, so that nothing reverts.
+        """
+        _LOG.warning(
+            '{}: records before {} have expired', self.stream, first_offset
+        )
+        self.next_offset = first_offset
+        self._first_kept_offset = first_offset
+        self._needs_snapshot = True
+
+    def _note_caught_up(self, end_offset: int) -> None:
+        if self.next_offset >= end_offset and not self._needs_snapshot:
+            self.caught_up.set()
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/streams/write_outcomes.py
@@ -0,0 +1,27 @@
+"""How writing our own records can end."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """The record stands at ``offset`` and has been applied here."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteRefused:
+    """The record is not in the log and will not be."""
+
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteUnsettled:
+    """The record may still appear in the log."""
+
+    cause: str
+
+
+WriteOutcome = Written | WriteRefused | WriteUnsettled
--- /dev/null
+++ b/packages/standins/src/foxtailrelay_standins/internal/engine_model.py
@@ -0,0 +1,228 @@
+"""Model of a model engine with continuous batching and a prefix cache."""
+
+import typing
+
+from foxtailrelay_core import prefixes
+import trio
+
+from foxtailrelay_standins.internal import block_cache
+from foxtailrelay_standins.internal import engine_profile
+from foxtailrelay_standins.internal import generation as generations
+from foxtailrelay_standins.internal import priority_gate
+
+EngineProfile = engine_profile.EngineProfile
+
+
+class LoadReport(typing.TypedDict):
+    """What an engine reports of its load."""
+
+    queued_tokens: int
+    running: int
+    slots: int
+    time_s: float
+
+
+class CacheEvent(typing.TypedDict):
+    """Blocks that entered or left the prefix cache."""
+
+    sequence: int
+    stored: list[int]
+    evicted: list[int]
+
+
+class OrderResult(typing.TypedDict):
+    """How an order was taken."""
+
+    accepted: bool
+    newest_fencing: int
+
+
+class EngineModel:
+    """Computes answers in trio's time, virtual or real.
+
+    Parameters
+    ----------
+    profile : EngineProfile
+        Speed and habits.
+    computed_blocks : set of int, optional
+        Blocks that any engine ever computed; shared between engines to count
+        recomputed tokens.
+    """
+
+    def __init__(
+        self,
+        profile: engine_profile.EngineProfile,
+        computed_blocks: set[int] | None = None,
+    ) -> None:
+        self.profile = profile
+        self.generation_by_request_id: dict[str, generations.Generation] = {}
+        self.recomputed_tokens = 0
+        self.computed_tokens = 0
+        self.orders: list[dict] = []
+        self.newest_fencing = -1
+        self.leaving = False
+        self._computed_blocks = (
+            set() if computed_blocks is None else computed_blocks
+        )
+        self._cache = block_cache.BlockCache(profile.cache_blocks)
+        self._slots = priority_gate.PriorityGate(profile.slots)
+        self._prefill = priority_gate.PriorityGate(1)
+        self._decoding: list[generations.Generation] = []
+        self._decoding_started = trio.Event()
+        self._queued_tokens = 0
+        self._events: list[tuple[float, CacheEvent]] = []
+        self._next_sequence = 0
+        self._report = LoadReport(
+            queued_tokens=0, running=0, slots=profile.slots, time_s=0.0
+        )
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._decode_forever)
+            nursery.start_soon(self._report_forever)
+            task_status.started()
+
+    def submit(
+        self, request: generations.GenerationRequest
+    ) -> generations.Generation:
+        """Start a generation, or return the one already under this id."""
+        known = self.generation_by_request_id.get(request.request_id)
+        cancelled = generations.GenerationState.CANCELLED
+        if known is not None and known.state is not cancelled:
+            return known
+        generation = generations.Generation(request)
+        self.generation_by_request_id[request.request_id] = generation
+        self._nursery.start_soon(self._prepare, generation)
+        return generation
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel a generation; False when there is none."""
+        generation = self.generation_by_request_id.get(request_id)
+        if generation is None:
+            return False
+        generation.cancel()
+        return True
+
+    def load(self) -> LoadReport:
+        """Return the newest report, which lags behind."""
+        return self._report
+
+    def cache_events(self, from_sequence: int) -> list[CacheEvent]:
+        """Return the published events from a sequence number on."""
+        visible_before = trio.current_time() - self.profile.cache_event_lag_s
+        gap = self.profile.cache_event_gap
+        return [
+            event
+            for time_s, event in self._events
+            if time_s <= visible_before
+            and event['sequence'] >= from_sequence
+            and not (gap and event['sequence'] % gap == gap - 1)
+        ]
+
+    def order(self, fencing: int, action: str, argument: str) -> OrderResult:
+        """Take an order; an old fencing number may be refused."""
+        if self.profile.checks_fencing and fencing < self.newest_fencing:
+            return OrderResult(
+                accepted=False, newest_fencing=self.newest_fencing
+            )
+        self.newest_fencing = max(fencing, self.newest_fencing)
+        self.orders.append(
+            {'fencing': fencing, 'action': action, 'argument': argument}
+        )
+        return OrderResult(accepted=True, newest_fencing=self.newest_fencing)
+
+    def export_blocks(self, blocks: list[int]) -> list[int]:
+        """Return the leading blocks whose KV cache can be exported."""
+        return blocks[: self._cache.cached_count(blocks)]
+
+    def import_blocks(self, blocks: list[int]) -> None:
+        """Take over the KV cache of blocks computed elsewhere."""
+        self._store(blocks)
+
+    async def _prepare(self, generation: generations.Generation) -> None:
+        """Wait for a place in the batch, then compute the prompt."""
+        request = generation.request
+        prompt = request.prompt + request.partial_answer
+        blocks = prefixes.block_hashes(prompt)
+        prompt_tokens = prefixes.estimate_tokens(prompt)
+        generation.prompt_tokens = prompt_tokens
+        self._queued_tokens += prompt_tokens
+        try:
+            await self._slots.acquire(request.priority)
+            await self._prefill.acquire(request.priority)
+            try:
+                await self._compute_prompt(generation, blocks)
+            finally:
+                self._prefill.release()
+        finally:
+            self._queued_tokens -= prompt_tokens
+        if generation.is_complete:
+            generation.finish()
+        if generation.ended:
+            self._slots.release()
+            return
+        generation.state = generations.GenerationState.DECODING
+        self._decoding.append(generation)
+        self._decoding_started.set()
+
+    async def _compute_prompt(
+        self, generation: generations.Generation, blocks: list[int]
+    ) -> None:
+        """Spend the time of the uncached part and fill the cache."""
+        if generation.ended:
+            return
+        cached_blocks = self._cache.cached_count(blocks)
+        cached_tokens = cached_blocks * prefixes.BLOCK_TOKENS
+        uncached_tokens = max(1, generation.prompt_tokens - cached_tokens)
+        await trio.sleep(uncached_tokens / self.profile.prefill_tokens_per_s)
+        generation.cached_tokens = cached_tokens
+        computed = blocks[cached_blocks:]
+        repeated = [b for b in computed if b in self._computed_blocks]
+        self.recomputed_tokens += len(repeated) * prefixes.BLOCK_TOKENS
+        self.computed_tokens += uncached_tokens
+        self._computed_blocks.update(computed)
+        self._store(blocks)
+        words = generation.request.partial_answer.split()
+        for word in words:
+            generation.tokens.append(word + ' ')
+
+    def _store(self, blocks: list[int]) -> None:
+        """Cache blocks and publish what changed."""
+        stored, evicted = self._cache.store(blocks)
+        if not stored and not evicted:
+            return
+        event = CacheEvent(
+            sequence=self._next_sequence, stored=stored, evicted=evicted
+        )
+        self._next_sequence += 1
+        self._events.append((trio.current_time(), event))
+
+    async def _decode_forever(self) -> None:
+        """Give every running generation one token a step."""
+        while True:
+            if not self._decoding:
+                self._decoding_started = trio.Event()
+                await self._decoding_started.wait()
+            fullness = len(self._decoding) / self.profile.slots
+            slowdown = 1 + (self.profile.full_batch_slowdown - 1) * fullness
+            await trio.sleep(self.profile.token_interval_s * slowdown)
+            for generation in list(self._decoding):
+                if not generation.ended:
+                    generation.add_token()
+                if generation.ended:
+                    self._decoding.remove(generation)
+                    self._slots.release()
+
+    async def _report_forever(self) -> None:
+        """Refresh the load report every ``load_lag_s`` seconds."""
+        while True:
+            self._report = LoadReport(
+                queued_tokens=self._queued_tokens,
+                running=len(self._decoding),
+                slots=self.profile.slots,
+                time_s=trio.current_time(),
+            )
+            await trio.sleep(self.profile.load_lag_s)
--- /dev/null
+++ b/packages/standins/src/foxtailrelay_standins/internal/log_store.py
@@ -0,0 +1,96 @@
+"""Model of the platform's append-only log service."""
+
+import dataclasses
+import typing
+
+import trio
+
+
+@dataclasses.dataclass
+class LogFaults:
+    """How the log service misbehaves just now.
+
+    Parameters
+    ----------
+    down : bool
+        Refuse every call.
+    delay_s : float
+        Wait this long before each call takes effect.
+    lost_answers : int
+        How many of the next appends take effect but lose their answer.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lost_answers: int = 0
+
+
+class StoredRecord(typing.NamedTuple):
+    """One record and its offset."""
+
+    offset: int
+    data: bytes
+
+
+class Stream:
+    """The records of one stream that are still kept."""
+
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.records: list[bytes] = []
+        self.grown = trio.Event()
+
+    @property
+    def next_offset(self) -> int:
+        """Offset that the next append will get."""
+        return self.first_offset + len(self.records)
+
+
+class LogStore:
+    """Keeps named streams of records with dense offsets from 0."""
+
+    def __init__(self) -> None:
+        self.faults = LogFaults()
+        self.append_count = 0
+        self._stream_by_name: dict[str, Stream] = {}
+
+    def stream(self, name: str) -> Stream:
+        """Return the stream, made empty when it is new."""
+        return self._stream_by_name.setdefault(name, Stream())
+
+    def append(self, name: str, data: bytes) -> int:
+        """Append a record and return its offset."""
+        stream = self.stream(name)
+        stream.records.append(data)
+        self.append_count += 1
+        stream.grown.set()
+        stream.grown = trio.Event()
+        return stream.next_offset - 1
+
+    def read(
+        self, name: str, from_offset: int, limit: int
+    ) -> list[StoredRecord]:
+        """Return up to ``limit`` records from an offset on."""
+        stream = self.stream(name)
+        start = max(0, from_offset - stream.first_offset)
+        chosen = stream.records[start : start + limit]
+        first = stream.first_offset + start
+        return [
+            StoredRecord(first + index, data)
+            for index, data in enumerate(chosen)
+        ]
+
+    async def wait_for(self, name: str, offset: int, wait_s: float) -> None:
+        """Wait until ``offset`` exists, at most ``wait_s`` seconds."""
+        with trio.move_on_after(wait_s):
+            while self.stream(name).next_offset <= offset:
+                await self.stream(name).grown.wait()
+
+    def expire(self, name: str, before_offset: int) -> None:
+        """Drop the records before an offset, as retention does."""
+        stream = self.stream(name)
+        count = min(
+            max(0, before_offset - stream.first_offset), len(stream.records)
+        )
+        del stream.records[:count]
+        stream.first_offset += count
--- /dev/null
+++ b/tests/cover/test_language.py
@@ -0,0 +1,42 @@
+"""The operator language."""
+
+from foxtailrelay_core import language
+import pytest
+
+
+@pytest.mark.parametrize(
+    'text, place, expected',
+    [
+        ('SHOW foo', (1, 6), 'one of engines'),
+        ('CREATE SERVICE x WITH (a b)', (1, 26), "'='"),
+        ('SELECT FROM', (1, 12), 'FROM'),
+        ('SHOW engines;\nDRAIN TABLE x', (2, 7), 'VM or BACKEND'),
+    ],
+)
+def test_wrong_statement_shows_place_and_expectation(text, place, expected):
+    error = language.parse(text)
+    assert (error.line, error.column) == place
+    assert expected in error.text()
+
+
+def test_doubled_quote_stands_for_one():
+    (statement,) = language.parse("LOAD MODEL 'rider''s' ON BACKEND e1")
+    assert statement.artefact_name == "rider's"
+
+
+def test_select_keeps_every_clause():
+    (statement,) = language.parse(
+        'SELECT id, zone FROM vms WHERE price < 3 AND zone = ruiru '
+        'ORDER BY price DESC LIMIT 3'
+    )
+    assert statement == language.SelectStatement(
+        ('id', 'zone'),
+        'vms',
+        (
+            language.Condition('price', '<', 3),
+            language.Condition('zone', '=', 'ruiru'),
+        ),
+        'price',
+        True,
+        3,
+    )
--- /dev/null
+++ b/tests/cover/test_settings.py
@@ -0,0 +1,39 @@
+"""Settings are checked as a whole."""
+
+from foxtailrelay_core import settings
+
+_GOOD = """
+{
+    // The entry VM in ruiru.
+    "node": {
+        "id": "entry-1", "zone": "ruiru", "caller_port": 1, "peer_port": 2
+    },
+    "cluster": {"name": "mwangi", "secret": "0123456789abcdef"},
+    "platform": {"log_url": "http://10.0.0.1", "cloud_url": "http://10.0.0.2"}
+}
+"""
+
+
+def test_comments_are_allowed_and_defaults_fill_in():
+    loaded = settings.load_text(_GOOD, 'a.jsonc')
+    assert loaded.timings == settings.TimingSettings()
+
+
+def test_all_errors_are_reported_at_once_with_path_and_value():
+    text = _GOOD.replace('"zone"', '"zome"').replace(': 1,', ': 700000,')
+    text = text.replace('10.0.0.1', '')
+    lines = settings.load_text(text, 'a.jsonc').text().splitlines()
+    assert len(lines) == 4
+    assert 'a.jsonc: node.zone: missing; add this key' in lines
+    assert any('node.zome: unknown key' in line for line in lines)
+    assert any('node.caller_port: found 700000' in line for line in lines)
+    assert any('platform.log_url: found' in line for line in lines)
+
+
+def test_secret_is_not_shown_in_errors():
+    text = _GOOD.replace('0123456789abcdef', 'hush')
+    assert 'hush' not in settings.load_text(text, 'a.jsonc').text()
+
+
+def test_broken_json_names_the_line():
+    assert 'line 3' in settings.load_text('{\n"node":\n,}', 'a.jsonc').text()
