Prove promises by scenarios in virtual time; mend two faults they found

Cause: no promise was shown under failure. A small test language (one file a scenario) now drives several nodes against the stand-in models in one process and in virtual time, and an oracle compares what callers were told with what the backend servers recorded that they ran.

The node that had forwarded the call gave up at the caller's deadline, ran the call itself with no time left, and answered not-run although the preferred node had sent it. Change: a forwarding failure says whether the request may have left; if so, not-run becomes unknown. The preferred node also gets 0.1 s less time, so that its own final answer is usually the one told. - engine-dies: a stream that had begun was given up within milliseconds because its second engine died while the first one was still being avoided. Change: once part of an answer is there, the node waits for an engine within the deadline instead of failing. A request with no event yet still gets its final answer at once.

Ruled out for the first: an oracle that is too strict; the trace shows the run at 0.05 s and the not-run answer at 2.0 s.

--- a/packages/node/src/foxtailrelay_node/internal/callers/http_answer.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/http_answer.py
@@ -31,6 +31,12 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the answer says that the request was not run."""
+        outcome = dict(self.headers).get(OUTCOME_HEADER)
+        return outcome == errors.Outcome.NOT_RUN.value
+
     @classmethod
     def from_failure(
         cls, failure: errors.Failure, request_id: str = ''
--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -27,6 +27,7 @@
 _BATCH_PRIORITY = 10
 _CANCEL_TIMEOUT_S = 1.0
 _MOST_TRIES = 6
+_RESUME_PAUSE_S = 0.25
 
 
 class ModelJob(typing.NamedTuple):
@@ -70,6 +71,11 @@
         self.has_own_start = job.resume is None
         self.was_sent = False
 
+    @property
+    def may_wait(self) -> bool:
+        """Whether part of an answer has come that can be gone on with."""
+        return bool(self.events)
+
     def partial_answer(self) -> str:
         """Return the text so far, for an engine that goes on with it."""
         parts = []
@@ -137,9 +143,8 @@
         hashes = prefixes.block_hashes(text)
         excluded: set[str] = set()
         self._budget.note_first_try()
-        for tries in range(_MOST_TRIES):
-            if tries > 0 and not self._budget.try_spend():
-                return _broken(progress, 'the retry budget is used up')
+        tries = 0
+        while tries < _MOST_TRIES:
             demand = decisions.ModelDemand(
                 job.request_id,
                 job.chat.service,
@@ -151,7 +156,16 @@
             )
             choice = self._choose(progress, demand, frozenset(excluded))
             if isinstance(choice, errors.Failure):
-                return choice
+                if not progress.may_wait:
+                    return choice
+                # The caller has part of the answer already.  Engines come
+                # back, so waiting within the deadline beats giving up.
+                excluded.clear()
+                await trio.sleep(_RESUME_PAUSE_S)
+                continue
+            if tries > 0 and not self._budget.try_spend():
+                return _broken(progress, 'the retry budget is used up')
+            tries += 1
             item = await self._stream(progress, demand, choice, sink)
             if isinstance(item, engine_outcomes.StreamEnd):
                 return None
--- a/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
@@ -24,6 +24,7 @@
 
 _LOG = logbook.Logger('foxtailrelay.callers')
 _Kind = errors.ErrorKind
+_ANSWER_TRAVEL_S = 0.1
 _KEY_PATTERN = re.compile(r'[A-Za-z0-9._:-]{1,200}')
 _SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 _HEADERS_NOT_PASSED_ON = frozenset(
@@ -35,6 +36,12 @@
 )  # fmt: skip
 
 
+class _ForwardFailed(typing.NamedTuple):
+    """No answer came from the other node."""
+
+    was_sent: bool
+
+
 class PlainRequest(typing.NamedTuple):
     """A call to a plain service, after authentication and grants.
 
@@ -152,14 +159,27 @@
     ) -> http_answer.HttpAnswer:
         """Run a call here or at the preferred node of its key."""
         preferred = self._ledger.preferred_node(call.key)
-        if preferred != self._node_id:
-            answer = await self._forward(preferred, call, respond_async)
-            if answer is not None:
-                return answer
-        # Where forwarding failed, the call may or may not have arrived.
-        # Running it here is safe: both nodes write to the same partition,
-        # and the order of their records decides who sends.
-        return await self._run(call, respond_async)
+        if preferred == self._node_id:
+            return await self._run(call, respond_async)
+        forwarded = await self._forward(preferred, call, respond_async)
+        if isinstance(forwarded, http_answer.HttpAnswer):
+            return forwarded
+        # Running the call here is safe even if the preferred node got it:
+        # both write to the same partition, and the order of their records
+        # decides who sends.
+        answer = await self._run(call, respond_async)
+        if forwarded.was_sent and answer.is_not_run:
+            # The other node may still run the call, now or later, so this
+            # node cannot promise that it was not run.
+            failure = errors.Failure(
+                _Kind.OUTCOME_UNKNOWN,
+                f'node {preferred} got the call and did not answer; ask for '
+                'its status',
+            )
+            return http_answer.HttpAnswer.from_failure(
+                failure, call.request_id
+            )
+        return answer
 
     async def _run(
         self, call: calls.LedgerCall, respond_async: bool
@@ -170,10 +190,13 @@
 
     async def _forward(
         self, node_id: str, call: calls.LedgerCall, respond_async: bool
-    ) -> http_answer.HttpAnswer | None:
-        """Forward a call; None when no answer came back."""
+    ) -> http_answer.HttpAnswer | _ForwardFailed:
+        """Forward a call to another node."""
         organisation, service, key = call.key.split('/', 2)
+        # The other node gets a little less time, so that its final answer
+        # is back here before the caller's deadline.
         left_s = call.deadline_s - trio.current_time()
+        owner_s = left_s - min(_ANSWER_TRAVEL_S, left_s / 10)
         _LOG.info(
             'forward request={} organisation={} service={} chosen={} '
             'why=preferred-node',
@@ -191,16 +214,19 @@
             call.path,
             tuple(messages.Header(*pair) for pair in call.headers),
             call.body,
-            max(1, int(left_s * 1000)),
+            max(1, int(owner_s * 1000)),
             respond_async,
         )
         try:
             answer = await self._links.request(node_id, forwarded, left_s)
-        except (peer_link.LinkClosed, messages.FrameError) as error:
+        except peer_link.LinkClosed as error:
+            _LOG.info('forward request={} failed: {}', call.request_id, error)
+            return _ForwardFailed(error.was_sent)
+        except messages.FrameError as error:
             _LOG.info('forward request={} failed: {}', call.request_id, error)
-            return None
+            return _ForwardFailed(was_sent=False)
         if not isinstance(answer, messages.ForwardAnswer):
-            return None
+            return _ForwardFailed(was_sent=True)
         headers = tuple((h.name, h.value) for h in answer.headers)
         return http_answer.HttpAnswer(answer.status, headers, answer.body)
 
--- a/packages/node/src/foxtailrelay_node/internal/members/link_keeper.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/link_keeper.py
@@ -90,21 +90,25 @@
         Raises
         ------
         LinkClosed
-            If the node could not be reached or did not answer.  Whether it
-            got the request is then unknown.
+            If the node could not be reached or did not answer; it tells
+            whether the node may have got the request.
         """
         kept = self._kept_by_id.get(node_id)
         if kept is None:
             digest = self._membership.address_of(node_id)
             if digest is None:
-                raise peer_link.LinkClosed(f'{node_id} is not known')
+                raise peer_link.LinkClosed(
+                    f'{node_id} is not known', was_sent=False
+                )
             kept = self._keep(digest)
         kept.wanted_until_s = trio.current_time() + _ON_DEMAND_IDLE_S
         if kept.link is None:
             with trio.move_on_after(_DIAL_TIMEOUT_S):
                 await kept.came_up.wait()
         if kept.link is None:
-            raise peer_link.LinkClosed(f'{node_id} cannot be reached')
+            raise peer_link.LinkClosed(
+                f'{node_id} cannot be reached', was_sent=False
+            )
         return await kept.link.request(message, timeout_s)
 
     async def revision_by_id(self, timeout_s: float) -> dict[str, int | None]:
@@ -238,7 +242,7 @@
     ) -> None:
         """Merge views and bring the older configuration up to date."""
         if not isinstance(answer, messages.Heartbeat):
-            raise peer_link.LinkClosed('unexpected answer')
+            raise peer_link.LinkClosed('unexpected answer', was_sent=True)
         self._membership.merge(answer.members)
         timeout_s = self._timings.peer_suspect_s
         if answer.revision > self._configuration.revision:
--- a/packages/node/src/foxtailrelay_node/internal/members/peer_link.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/peer_link.py
@@ -7,7 +7,19 @@
 
 
 class LinkClosed(Exception):
-    """The connection ended before the answer came."""
+    """The connection ended before the answer came.
+
+    Parameters
+    ----------
+    cause : str
+        What happened.
+    was_sent : bool
+        Whether the other node may have got the request.
+    """
+
+    def __init__(self, cause: str, was_sent: bool) -> None:
+        super().__init__(cause)
+        self.was_sent = was_sent
 
 
 class _PendingAnswer:
@@ -47,7 +59,7 @@
             If the connection ended or no answer came in time.
         """
         if self._closed:
-            raise LinkClosed('closed')
+            raise LinkClosed('closed', was_sent=False)
         message_id = next(self._next_id)
         pending = _PendingAnswer()
         self._pending_by_id[message_id] = pending
@@ -56,11 +68,11 @@
                 await self._frames.send(message_id, message)
                 await pending.arrived.wait()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise LinkClosed('connection lost') from error
+            raise LinkClosed('connection lost', was_sent=True) from error
         finally:
             del self._pending_by_id[message_id]
         if pending.message is None:
-            raise LinkClosed('no answer')
+            raise LinkClosed('no answer', was_sent=True)
         return pending.message
 
     async def receive_forever(self) -> None:
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests: a cluster of nodes in virtual time."""
--- /dev/null
+++ b/tests/common/fake_cloud.py
@@ -0,0 +1,26 @@
+"""The cloud API within one process."""
+
+from foxtailrelay_node.internal.platform import cloud_client
+
+
+class FakeCloud(cloud_client.CloudClient):
+    """One node's client of the shared cloud model."""
+
+    def __init__(self, node, model, network):
+        self._node = node
+        self._model = model
+        self._network = network
+
+    async def list_vms(self):
+        await self._network.travel(self._node)
+        if self._network.is_cut(self._node, 'cloud'):
+            return None
+        return self._model.list_vms()
+
+    async def notices(self, from_sequence, wait_s):
+        await self._network.travel(self._node)
+        if self._network.is_cut(self._node, 'cloud'):
+            return None
+        notices = await self._model.notices_from(from_sequence, wait_s)
+        await self._network.gate(self._node)
+        return notices
--- /dev/null
+++ b/tests/common/fake_engines.py
@@ -0,0 +1,137 @@
+"""Model engines within one process."""
+
+import json
+
+from foxtailrelay_core import prefixes
+from foxtailrelay_node.internal.platform import engine_client
+from foxtailrelay_node.internal.platform import engine_outcomes
+from foxtailrelay_standins import models
+import trio
+
+from common import network as networks
+
+
+class FakeEngineStream(engine_client.EngineStream):
+    """Reads one generation; cuts and silence break it."""
+
+    def __init__(self, client, name, generation, after_event):
+        self._client = client
+        self._name = name
+        self._generation = generation
+        self._sent = after_event
+        self._opened_s = trio.current_time()
+
+    async def next_item(self):
+        generation = self._generation
+        if self._sent > generation.request.max_tokens:
+            return engine_outcomes.StreamEnd()
+        while True:
+            broken = await self._broken()
+            if broken is not None:
+                return broken
+            with trio.move_on_after(self._client.silence_s):
+                await generation.wait_past(self._sent)
+                break
+        broken = await self._broken()
+        if broken is not None:
+            return broken
+        if self._sent < len(generation.tokens):
+            delta = {'content': generation.tokens[self._sent]}
+            fields = {'choices': [{'delta': delta, 'finish_reason': None}]}
+        elif generation.is_complete:
+            usage = {
+                'prompt_tokens': generation.prompt_tokens,
+                'prompt_tokens_details': {
+                    'cached_tokens': generation.cached_tokens
+                },
+            }
+            fields = {
+                'choices': [{'delta': {}, 'finish_reason': 'stop'}],
+                'usage': usage,
+            }
+        else:
+            return engine_outcomes.StreamBroken('cancelled')
+        self._sent += 1
+        return engine_outcomes.StreamEvent(
+            self._sent, json.dumps(fields).encode()
+        )
+
+    async def _broken(self):
+        client = self._client
+        await client.network.gate(client.node)
+        pair = (client.node, self._name)
+        if self._name in client.down:
+            return engine_outcomes.StreamBroken('connection reset')
+        if client.network.is_cut(*pair) or client.network.is_silenced(
+            *pair, self._opened_s
+        ):
+            await trio.sleep(client.silence_s)
+            return engine_outcomes.StreamBroken('silent')
+        return None
+
+    async def aclose(self):
+        pass
+
+
+class FakeEngines(engine_client.EngineClient):
+    """One node's client of the shared engine models."""
+
+    def __init__(
+        self,
+        node: str,
+        model_by_name: dict[str, models.EngineModel],
+        down: set[str],
+        network: networks.Network,
+        silence_s: float,
+    ) -> None:
+        self.node = node
+        self.down = down
+        self.network = network
+        self.silence_s = silence_s
+        self._model_by_name = model_by_name
+
+    async def open_stream(self, address, request):
+        if not await self._reaches(address.name):
+            return engine_outcomes.StreamBroken('cannot connect')
+        fields = json.loads(request.body)
+        generation = self._model_by_name[address.name].submit(
+            models.GenerationRequest(
+                request.request_id,
+                fields['model'],
+                prefixes.prompt_text(fields['messages']),
+                fields['max_tokens'],
+                request.priority,
+                fields.get('partial_answer', ''),
+            )
+        )
+        return FakeEngineStream(
+            self, address.name, generation, request.after_event
+        )
+
+    async def cancel(self, address, request_id):
+        if await self._reaches(address.name):
+            self._model_by_name[address.name].cancel(request_id)
+
+    async def load(self, address):
+        if not await self._reaches(address.name):
+            return None
+        return self._model_by_name[address.name].load()
+
+    async def cache_events(self, address, from_sequence):
+        if not await self._reaches(address.name):
+            return None
+        return self._model_by_name[address.name].cache_events(from_sequence)
+
+    async def order(self, address, fencing, action, argument):
+        if not await self._reaches(address.name):
+            return None
+        result = self._model_by_name[address.name].order(
+            fencing, action, argument
+        )
+        return result['accepted']
+
+    async def _reaches(self, name):
+        await self.network.travel(self.node)
+        return name not in self.down and not self.network.is_cut(
+            self.node, name
+        )
--- /dev/null
+++ b/tests/common/fake_log.py
@@ -0,0 +1,88 @@
+"""The log service within one process."""
+
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.platform import log_outcomes
+from foxtailrelay_standins import models
+import trio
+
+from common import network as networks
+
+_RECORDS_PER_READ = 1000
+
+
+class _Pending:
+    """An append on its way."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.offset = -1
+
+
+class FakeLog(log_client.LogClient):
+    """One node's client of a shared :class:`LogStore`.
+
+    An append goes on after its node has been killed or has given up, as a
+    request does that has left the machine.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        store: models.LogStore,
+        network: networks.Network,
+        nursery: trio.Nursery,
+        timeout_s: float,
+    ) -> None:
+        self._node = node
+        self._store = store
+        self._network = network
+        self._nursery = nursery
+        self._timeout_s = timeout_s
+
+    async def append(self, stream, data):
+        await self._network.travel(self._node)
+        if self._store.faults.down:
+            return log_outcomes.AppendRefused('status 503')
+        if self._network.is_cut(self._node, 'log'):
+            return log_outcomes.AppendRefused('cannot connect')
+        pending = _Pending()
+        self._nursery.start_soon(self._append, stream, data, pending)
+        with trio.move_on_after(self._timeout_s):
+            await pending.done.wait()
+        await self._network.gate(self._node)
+        if not pending.done.is_set():
+            return log_outcomes.AppendUnsettled('timeout')
+        return log_outcomes.Appended(pending.offset)
+
+    async def _append(self, stream, data, pending):
+        faults = self._store.faults
+        lost = faults.lost_answers > 0
+        if lost:
+            faults.lost_answers -= 1
+        await trio.sleep(faults.delay_s)
+        pending.offset = self._store.append(stream, data)
+        await trio.sleep(networks.LATENCY_S)
+        if not lost and not self._network.is_cut(self._node, 'log'):
+            pending.done.set()
+
+    async def read(self, stream, from_offset, wait_s):
+        await self._network.travel(self._node)
+        if self._is_unreachable():
+            return log_outcomes.ReadFailed('cannot connect')
+        await trio.sleep(self._store.faults.delay_s)
+        await self._store.wait_for(stream, from_offset, wait_s)
+        await self._network.travel(self._node)
+        if self._is_unreachable():
+            return log_outcomes.ReadFailed('no answer')
+        state = self._store.stream(stream)
+        if from_offset < state.first_offset:
+            return log_outcomes.Expired(state.first_offset)
+        records = self._store.read(stream, from_offset, _RECORDS_PER_READ)
+        return log_outcomes.Page(
+            tuple(log_outcomes.LogRecord(*record) for record in records),
+            state.next_offset,
+        )
+
+    def _is_unreachable(self):
+        cut = self._network.is_cut(self._node, 'log')
+        return cut or self._store.faults.down
--- /dev/null
+++ b/tests/common/fake_transport.py
@@ -0,0 +1,72 @@
+"""Connections between nodes within one process."""
+
+from foxtailrelay_node.internal.members import transport
+import trio
+from trio import testing
+
+from common import network as networks
+
+
+class FaultyStream(trio.abc.Stream):
+    """One end of a connection; cuts and silence swallow what is sent."""
+
+    def __init__(self, inner, source, target, network):
+        self._inner = inner
+        self._source = source
+        self._target = target
+        self._network = network
+        self._opened_s = trio.current_time()
+
+    async def send_all(self, data):
+        await self._network.travel(self._source)
+        pair = (self._source, self._target)
+        if self._network.is_cut(*pair):
+            return
+        if self._network.is_silenced(*pair, self._opened_s):
+            return
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes=None):
+        data = await self._inner.receive_some(max_bytes)
+        await self._network.gate(self._source)
+        return data
+
+    async def aclose(self):
+        await self._inner.aclose()
+
+
+class FakeTransport(transport.PeerTransport):
+    """Dials other nodes of the test cluster; ``port`` names the node.
+
+    Parameters
+    ----------
+    node : str
+        The dialling node.
+    network : Network
+        Faults.
+    accept : callable
+        Gives a connection to the node at a port; False if it is not there.
+    """
+
+    def __init__(self, node, network: networks.Network, accept):
+        self._node = node
+        self._network = network
+        self._accept = accept
+
+    async def dial(self, host, port):
+        await self._network.travel(self._node)
+        target = f'n{port}'
+        if self._network.is_cut(self._node, target):
+            await trio.sleep(30)
+            raise OSError('timeout')
+        near, far = testing.memory_stream_pair()
+        ends = (
+            FaultyStream(near, self._node, target, self._network),
+            FaultyStream(far, target, self._node, self._network),
+        )
+        if not self._accept(target, ends[1]):
+            raise OSError('connection refused')
+        return ends[0]
--- /dev/null
+++ b/tests/common/told.py
@@ -0,0 +1,36 @@
+"""What a caller was told."""
+
+import json
+import typing
+
+
+class Told(typing.NamedTuple):
+    """One answer to a caller.
+
+    ``outcome`` is ``ran``, ``not-run``, ``unknown`` or ``accepted``.
+    """
+
+    outcome: str
+    status: int
+    body: bytes
+    time_s: float
+
+    @classmethod
+    def from_answer(cls, answer, time_s):
+        headers = dict(answer.headers)
+        outcome = headers.get('X-Outcome')
+        if outcome is None:
+            outcome = json.loads(answer.body)['state']
+        return cls(outcome, answer.status, answer.body, time_s)
+
+
+class ToldStream(typing.NamedTuple):
+    """What came of one streamed answer."""
+
+    text: str
+    failure: str
+    expected_text: str
+
+    @property
+    def is_whole(self):
+        return not self.failure and self.text == self.expected_text
