Mend a lost acceptance and a busy loop; notice each mechanism's loss

A call for later was told accepted because its key was being sent for another request; that one was refused, recorded as not run, and nobody ran the key. accept() now waits for such a request and accepts the key itself where it was not run. It now waits for news at the end of the stream. - A call for later is started at once, not at the next half-second tick.

--- a/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
@@ -137,14 +137,8 @@
                 result = await self._claim_and_send(partition, entry, call)
                 if result is not None:
                     return result
-            else:
-                with trio.move_on_at(call.deadline_s):
-                    await partition.fold.wait_changed(call.key)
-                if trio.current_time() >= call.deadline_s:
-                    return _failed(
-                        _Kind.OUTCOME_UNKNOWN,
-                        'the call is still being run; ask for its status',
-                    )
+            elif not await self._wait_changed(partition, call):
+                return _still_running()
 
     async def accept(self, call: calls.LedgerCall) -> call_results.CallResult:
         """Accept a call to be run later; it then survives this node."""
@@ -153,10 +147,33 @@
             return _failed(
                 _Kind.LOG_UNAVAILABLE, 'the ledger cannot be read just now'
             )
-        entry = partition.entry(call.key)
-        if entry is not None and entry.state is not _State.NOT_RUN:
-            settled = await self._settled(partition, entry, call)
-            return settled or call_results.CallAccepted(call.key)
+        while True:
+            entry = partition.entry(call.key)
+            if entry is not None:
+                settled = await self._settled(partition, entry, call)
+                if settled is not None:
+                    return settled
+                entry = partition.entry(call.key)
+            if entry is None or entry.state is _State.NOT_RUN:
+                failure = await self._write_accepted(partition, entry, call)
+                if failure is not None:
+                    return failure
+            elif entry.call is not None:
+                self._look_after_if_free(partition, entry, mine=False)
+                return call_results.CallAccepted(call.key)
+            elif not await self._wait_changed(partition, call):
+                # Another request with this key is being sent.  If it turns
+                # out as not run, nobody would run it again, so this cannot
+                # be told as an acceptance.
+                return _still_running()
+
+    async def _write_accepted(
+        self,
+        partition: partitions.Partition,
+        entry: entries.LedgerEntry | None,
+        call: calls.LedgerCall,
+    ) -> call_results.CallFailed | None:
+        """Write that a call is accepted; another record may win."""
         attempt = 1 if entry is None else entry.attempt + 1
         outcome = await partition.write(
             _Record.ACCEPTED,
@@ -175,9 +192,15 @@
                     'the log service did not confirm; ask for the status',
                 )
             case write_outcomes.Written():
-                entry = partition.entry(call.key)
-                settled = await self._settled(partition, entry, call)
-                return settled or call_results.CallAccepted(call.key)
+                return None
+
+    async def _wait_changed(
+        self, partition: partitions.Partition, call: calls.LedgerCall
+    ) -> bool:
+        """Wait for a change of a key; False at the call's deadline."""
+        with trio.move_on_at(call.deadline_s) as scope:
+            await partition.fold.wait_changed(call.key)
+        return not scope.cancelled_caught
 
     async def status(
         self, key: str, deadline_s: float
@@ -394,11 +417,20 @@
             preferred = partition_map.preferred_node(partition.number, active)
             mine = preferred == self._holder.partition('/')[0]
             for entry in list(partition.fold.entry_by_key.values()):
-                if entry.is_open and entry.key not in self._tasks_by_key:
-                    self._look_after(partition, entry, mine)
+                self._look_after_if_free(partition, entry, mine)
             if mine:
                 await partition.write_snapshot_if_due()
 
+    def _look_after_if_free(
+        self,
+        partition: partitions.Partition,
+        entry: entries.LedgerEntry,
+        mine: bool,
+    ) -> None:
+        """Look after an open entry that no task here works on."""
+        if entry.is_open and entry.key not in self._tasks_by_key:
+            self._look_after(partition, entry, mine)
+
     def _look_after(
         self,
         partition: partitions.Partition,
@@ -545,6 +577,13 @@
     return call_results.CallFailed(errors.Failure(kind, detail))
 
 
+def _still_running() -> call_results.CallFailed:
+    return _failed(
+        _Kind.OUTCOME_UNKNOWN,
+        'the call is still being run; ask for its status',
+    )
+
+
 def _to_result(outcome: senders.SendOutcome) -> call_results.CallResult:
     """Translate what became of a call into its result."""
     match outcome:
--- a/packages/node/src/foxtailrelay_node/internal/streams/stream_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/streams/stream_follower.py
@@ -54,6 +54,7 @@
         )
         self._log = log
         self._poll_wait_s = poll_wait_s
+        self._at_end = False
         self._needs_snapshot = False
         self._first_kept_offset = 0
         self._progress = trio.Event()
@@ -63,7 +64,9 @@
         """Follow the stream until cancelled."""
         task_status.started()
         while True:
-            wait_s = self._poll_wait_s if self.caught_up.is_set() else 0
+            # Waiting for news, except on the way to the end: a follower that
+            # needs a snapshot also waits there, or it would ask in a loop.
+            wait_s = self._poll_wait_s if self._at_end else 0
             outcome = await self._log.read(
                 self.stream, self.next_offset, wait_s
             )
@@ -166,5 +169,6 @@
         self._needs_snapshot = True
 
     def _note_caught_up(self, end_offset: int) -> None:
-        if self.next_offset >= end_offset and not self._needs_snapshot:
+        self._at_end = self.next_offset >= end_offset
+        if self._at_end and not self._needs_snapshot:
             self.caught_up.set()
--- a/packages/standins/src/foxtailrelay_standins/internal/local_cluster.py
+++ b/packages/standins/src/foxtailrelay_standins/internal/local_cluster.py
@@ -43,12 +43,19 @@
     ----------
     directory : pathlib.Path
         For settings and output; made if it does not exist.
+    more_settings : dict, optional
+        Sections to add to the settings of every node.
     """
 
-    def __init__(self, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        more_settings: dict[str, typing.Any] | None = None,
+    ) -> None:
         self.process_by_name: dict[str, local_process.LocalProcess] = {}
         self.port_by_name: dict[str, int] = {}
         self.node_by_name: dict[str, NodeAddress] = {}
+        self._more_settings = more_settings or {}
         self._directory = directory
         self._directory.mkdir(parents=True, exist_ok=True)
 
@@ -136,6 +143,7 @@
                 'cloud_url': self.url('cloud'),
             },
             'operators': [account | salted._asdict()],
+            **self._more_settings,
         }
 
 
--- /dev/null
+++ b/tests/cover/test_retention.py
@@ -0,0 +1,70 @@
+"""The log drops old records; what must last has been written again."""
+
+from foxtailrelay_node.internal.ledger import partition
+from foxtailrelay_node.internal.ledger import partition_map
+import trio
+
+from common import cluster as clusters
+from common import oracle
+from common import virtual_time
+
+_KEY_COUNT = 40
+
+
+def test_finished_keys_survive_retention_and_the_restart_of_every_node(
+    monkeypatch,
+):
+    monkeypatch.setattr(partition, '_SNAPSHOT_AFTER_RECORDS', 2)
+
+    async def scenario():
+        async with trio.open_nursery() as nursery:
+            cluster = clusters.Cluster(nursery)
+            await cluster.start()
+            for number in range(_KEY_COUNT):
+                await cluster.call(f'c{number}', 'n1', f'k{number}')
+            await trio.sleep(5)
+            _expire_to_snapshots(cluster.log)
+            for name in cluster.node_names:
+                cluster.kill(name)
+            await trio.sleep(1)
+            for name in cluster.node_names:
+                await cluster.start_node(name)
+            await trio.sleep(2)
+            for number in range(_KEY_COUNT):
+                await cluster.call(f'again{number}', 'n2', f'k{number}')
+            assert len(cluster.runs) == _KEY_COUNT
+            outcomes = {t.outcome for t in cluster.told_by_call.values()}
+            assert outcomes == {'ran'}
+            oracle.check_settled(cluster)
+            nursery.cancel_scope.cancel()
+
+    virtual_time.run(scenario)
+
+
+def _expire_to_snapshots(log):
+    """Drop what stands before the newest snapshot of each partition."""
+    dropped = 0
+    for number in range(16):
+        name = f'ledger-{number}'
+        for offset, data in reversed(log.read(name, 0, 1000)):
+            if b'"snapshot":{' in data:
+                covers = int(data.rpartition(b':')[2].rstrip(b'}'))
+                log.expire(name, covers)
+                dropped += covers
+                break
+    assert dropped > 0
+
+
+def test_keys_spread_over_all_partitions():
+    numbers = {
+        partition_map.partition_of(f'o/s/k{number}', 16)
+        for number in range(400)
+    }
+    assert numbers == set(range(16))
+
+
+def test_only_the_partitions_of_a_lost_node_move():
+    before = [partition_map.preferred_node(p, 'abcd') for p in range(64)]
+    after = [partition_map.preferred_node(p, 'abc') for p in range(64)]
+    moved = [b for b, a in zip(before, after, strict=True) if a != b]
+    assert set(moved) == {'d'}
--- /dev/null
+++ b/tests/quality/test_mutants.py
@@ -0,0 +1,158 @@
+"""Each safety mechanism, switched off, is noticed by a scenario.
+
+A mechanism whose loss nothing notices would be superfluous or untested.
+"""
+
+import pathlib
+
+from foxtailrelay_node.internal.callers import http_answer
+from foxtailrelay_node.internal.callers import model_dispatcher
+from foxtailrelay_node.internal.catalogue import catalogue_fold
+from foxtailrelay_node.internal.ledger import ledger
+from foxtailrelay_node.internal.ledger import partition
+from foxtailrelay_node.internal.ledger import record
+from foxtailrelay_node.internal.ledger import sender
+from foxtailrelay_node.internal.members import link_keeper
+from foxtailrelay_node.internal import node as nodes
+from foxtailrelay_node.internal import notice_watch
+from foxtailrelay_node.internal.platform import engine_outcomes
+from foxtailrelay_node.internal.platform import http_outcomes
+from foxtailrelay_node.internal.streams import group_writer
+from foxtailrelay_node.internal.streams import write_outcomes
+import pytest
+
+from common import fake_backends
+from common import scenario
+from common import virtual_time
+
+_SCENARIOS = pathlib.Path(__file__).parent.parent.joinpath(
+    'cover', 'scenarios'
+)
+
+
+async def _do_nothing(*args, **kwargs):
+    return None
+
+
+def _without_read_before_act(patch):
+    patch.setattr(partition.Partition, 'holds', lambda *args: True)
+
+
+def _without_dispatch_record(patch):
+    original = partition.Partition.write
+
+    async def write(self, kind, *args, **fields):
+        if kind is record.RecordKind.DISPATCHING:
+            return write_outcomes.Written(0)
+        return await original(self, kind, *args, **fields)
+
+    patch.setattr(partition.Partition, 'write', write)
+    patch.setattr(partition.Partition, 'holds', lambda *args: True)
+
+
+def _without_release(patch):
+    patch.setattr(ledger.Ledger, '_release', _do_nothing)
+
+
+def _without_take_over(patch):
+    patch.setattr(ledger.Ledger, '_take_over', _do_nothing)
+
+
+def _without_giving_up_claims(patch):
+    patch.setattr(ledger.Ledger, '_settle_abandoned', _do_nothing)
+
+
+def _without_settling_lost_appends(patch):
+    async def settle(self, applied, cause):
+        return write_outcomes.WriteUnsettled(cause)
+
+    patch.setattr(group_writer.GroupWriter, '_settle', settle)
+
+
+def _without_asking_by_key(patch):
+    patch.setattr(sender.Sender, 'ask', _do_nothing)
+
+
+def _with_resending_after_unclear(patch):
+    original = fake_backends.FakeBackends.call
+
+    async def call(self, address, backend_call):
+        outcome = await original(self, address, backend_call)
+        if isinstance(outcome, http_outcomes.Unclear):
+            return http_outcomes.NotSent(outcome.cause)
+        return outcome
+
+    patch.setattr(fake_backends.FakeBackends, 'call', call)
+
+
+def _without_doubt_after_forwarding(patch):
+    patch.setattr(http_answer.HttpAnswer, 'is_not_run', False)
+
+
+def _without_revision_check(patch):
+    patch.setattr(
+        catalogue_fold.CatalogueFold, '_conflict', lambda *args: None
+    )
+
+
+def _without_passing_on_configuration(patch):
+    async def merge_only(self, link, answer):
+        self._membership.merge(answer.members)
+
+    patch.setattr(link_keeper.LinkKeeper, '_take_heartbeat', merge_only)
+
+
+def _without_end_mark(patch):
+    original = model_dispatcher.ModelDispatcher._pass_on
+
+    async def pass_on(self, *args):
+        await original(self, *args)
+        return engine_outcomes.StreamEnd()
+
+    patch.setattr(model_dispatcher.ModelDispatcher, '_pass_on', pass_on)
+
+
+def _without_reclaim_notices(patch):
+    patch.setattr(notice_watch.NoticeWatch, 'run', _do_nothing)
+
+
+def _without_drain(patch):
+    patch.setattr(nodes.Node, '_drain', _do_nothing)
+
+
+_MUTANTS = [
+    (_without_read_before_act, 'cut-node'),
+    (_without_dispatch_record, 'cut-node'),
+    (_without_release, 'accepted-while-leaving'),
+    (_without_take_over, 'accepted-survives-kill'),
+    (_without_giving_up_claims, 'log-very-slow'),
+    (_without_settling_lost_appends, 'log-answer-lost'),
+    (_without_asking_by_key, 'backend-answer-lost'),
+    (_with_resending_after_unclear, 'silent-backend'),
+    (_without_doubt_after_forwarding, 'forwarded-then-silent'),
+    (_without_revision_check, 'operators-race'),
+    (_without_passing_on_configuration, 'drained-backend'),
+    (_without_end_mark, 'engine-dies'),
+    (_without_reclaim_notices, 'leaving-backend'),
+    (_without_drain, 'graceful-stop'),
+]
+
+
+@pytest.mark.parametrize(
+    'mutate, name', _MUTANTS, ids=[m.__name__[1:] for m, _ in _MUTANTS]
+)
+def test_loss_of_mechanism_is_noticed(mutate, name, monkeypatch):
+    text = _SCENARIOS.joinpath(f'{name}.scn').read_text()
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup)) as caught:
+        virtual_time.run(
+            scenario.ScenarioRunner(scenario.Scenario.from_text(text)).run
+        )
+    assert _is_broken_promise(caught.value)
+
+
+def _is_broken_promise(error):
+    """Tell whether a check failed, and not the test itself."""
+    if isinstance(error, ExceptionGroup):
+        return any(_is_broken_promise(e) for e in error.exceptions)
+    return isinstance(error, AssertionError)
