--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: demo test lint format fuzz lock clean
+.PHONY: demo test lint format fuzz lock clean bench-path bench-policy bench-capacity
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -37,3 +37,9 @@
 
 clean:
 	rm -rf $(VENV) run
+
+bench-path: $(INSTALLED)
+	$(PYTHON) bench/path_bench.py
+
+bench-capacity: $(INSTALLED)
+	$(PYTHON) bench/capacity_bench.py
--- /dev/null
+++ b/bench/line_fit.py
@@ -0,0 +1,33 @@
+"""Straight line through measured points."""
+
+import statistics
+import typing
+
+
+class LineFit(typing.NamedTuple):
+    """``y = intercept + slope * x`` and its largest error at a point."""
+
+    slope: float
+    intercept: float
+    largest_error: float
+
+    @classmethod
+    def of(cls, xs: typing.Sequence[float], ys: typing.Sequence[float]):
+        """Fit by least squares."""
+        slope, intercept = statistics.linear_regression(xs, ys)
+        largest = max(
+            abs(y - (intercept + slope * x))
+            for x, y in zip(xs, ys, strict=True)
+        )
+        return cls(slope, intercept, largest)
+
+    def at(self, x: float) -> float:
+        """Return the line's value."""
+        return self.intercept + self.slope * x
+
+    def text(self) -> str:
+        """Return the formula."""
+        return (
+            f'{self.intercept:.4g} + {self.slope:.4g} x '
+            f'(largest error {self.largest_error:.2g})'
+        )
--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -6,6 +6,7 @@
 
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import traffic_count
 
 _LENGTH = struct.Struct('>I')
 _READ_BYTES = 65536
@@ -23,14 +24,19 @@
     ----------
     stream : trio.abc.Stream
         The connection; closed by :meth:`aclose`.
+    traffic : TrafficCount, optional
+        Where to count the bytes.
     """
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        traffic: traffic_count.TrafficCount | None = None,
+    ) -> None:
         self._stream = stream
         self._buffer = bytearray()
         self._send_lock = trio.Lock()
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self._traffic = traffic or traffic_count.TrafficCount()
 
     async def send(
         self, message_id: int, message: message_types.Message
@@ -47,7 +53,7 @@
             raise FrameError(f'message of {len(data)} bytes is too long')
         async with self._send_lock:
             await self._stream.send_all(_LENGTH.pack(len(data)) + data)
-        self.sent_bytes += _LENGTH.size + len(data)
+        self._traffic.sent_bytes += _LENGTH.size + len(data)
 
     async def receive(self) -> tuple[int, message_types.Message]:
         """Receive one message.
@@ -72,7 +78,7 @@
             chunk = await self._stream.receive_some(_READ_BYTES)
             if not chunk:
                 raise FrameError('connection closed by the other side')
-            self.received_bytes += len(chunk)
+            self._traffic.received_bytes += len(chunk)
             self._buffer += chunk
         data = bytes(self._buffer[:count])
         del self._buffer[:count]
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -9,6 +9,7 @@
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import traffic_count
 
 PROTOCOL_VERSION = message_types.PROTOCOL_VERSION
 
@@ -27,6 +28,7 @@
 MemberState = message_types.MemberState
 Message = message_types.Message
 Refusal = message_types.Refusal
+TrafficCount = traffic_count.TrafficCount
 Welcome = message_types.Welcome
 decode = message_codec.decode
 encode = message_codec.encode
@@ -48,6 +50,7 @@
     'MemberState',
     'Message',
     'Refusal',
+    'TrafficCount',
     'Welcome',
     'decode',
     'encode',
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/control_collector.py
@@ -0,0 +1,43 @@
+"""Counters of what a node spends on control."""
+
+import typing
+
+from foxtailrelay_core import messages
+from prometheus_client import core
+from prometheus_client import registry
+
+
+class ControlCollector(registry.Collector):
+    """Reads counters that the parts of a node keep themselves.
+
+    Parameters
+    ----------
+    traffic_by_part : dict of str to TrafficCount
+        Control traffic, by what it is for.
+    append_count : callable
+        Returns the appends made to the log since the start.
+    """
+
+    def __init__(
+        self,
+        traffic_by_part: dict[str, messages.TrafficCount],
+        append_count: typing.Callable[[], int],
+    ) -> None:
+        self._traffic_by_part = traffic_by_part
+        self._append_count = append_count
+
+    def collect(self) -> typing.Iterator[core.CounterMetricFamily]:
+        """Yield the counters."""
+        control = core.CounterMetricFamily(
+            'foxtailrelay_control_bytes',
+            'Bytes sent and received for control.',
+            labels=['part'],
+        )
+        for part, traffic in self._traffic_by_part.items():
+            control.add_metric([part], traffic.total_bytes)
+        yield control
+        yield core.CounterMetricFamily(
+            'foxtailrelay_log_appends',
+            'Appends to the log service.',
+            value=self._append_count(),
+        )
--- a/packages/node/src/foxtailrelay_node/internal/members/link_keeper.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/link_keeper.py
@@ -56,8 +56,7 @@
         transport: transports.PeerTransport,
         timings: settings_module.TimingSettings,
     ) -> None:
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.traffic = messages.TrafficCount()
         self._handshake = handshake
         self._membership = membership
         self._configuration = configuration
@@ -190,7 +189,7 @@
                 )
         except (OSError, trio.TooSlowError):
             return False
-        frames = messages.FrameStream(stream)
+        frames = messages.FrameStream(stream, self.traffic)
         try:
             await self._handshake.dial(frames, kept.digest.node_id)
             heard = True
@@ -215,8 +214,6 @@
         finally:
             kept.link = None
             kept.came_up = trio.Event()
-            self.sent_bytes += frames.sent_bytes
-            self.received_bytes += frames.received_bytes
             with trio.CancelScope(shield=True), trio.move_on_after(1):
                 await frames.aclose()
         return heard
--- a/packages/node/src/foxtailrelay_node/internal/members/peer_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/peer_server.py
@@ -42,6 +42,7 @@
         forward_handler: ForwardHandler,
         silence_s: float,
     ) -> None:
+        self.traffic = messages.TrafficCount()
         self._handshake = handshake
         self._membership = membership
         self._configuration = configuration
@@ -50,7 +51,7 @@
 
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends or goes silent."""
-        frames = messages.FrameStream(stream)
+        frames = messages.FrameStream(stream, self.traffic)
         try:
             node_id = await self._handshake.accept(frames)
             async with trio.open_nursery() as nursery:
--- a/packages/node/src/foxtailrelay_node/internal/metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/metrics.py
@@ -66,11 +66,6 @@
             ['service', 'place'],
             registry=self.registry,
         )
-        self.log_appends = prometheus_client.Gauge(
-            'foxtailrelay_log_appends_since_start',
-            'Appends to the log service since the start.',
-            registry=self.registry,
-        )
         self.requests_in_flight = prometheus_client.Gauge(
             'foxtailrelay_requests_in_flight',
             'Requests being served.',
@@ -82,6 +77,10 @@
             registry=self.registry,
         )
 
+    def add_collector(self, collector) -> None:
+        """Add counters that are kept elsewhere."""
+        self.registry.register(collector)
+
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/node/src/foxtailrelay_node/internal/node.py
+++ b/packages/node/src/foxtailrelay_node/internal/node.py
@@ -15,6 +15,7 @@
 from foxtailrelay_node.internal.callers import model_endpoint
 from foxtailrelay_node.internal.callers import plain_endpoint
 from foxtailrelay_node.internal.catalogue import configuration as configs
+from foxtailrelay_node.internal import control_collector
 from foxtailrelay_node.internal.ledger import ledger as ledgers
 from foxtailrelay_node.internal.ledger import sender as senders
 from foxtailrelay_node.internal.members import handshake as handshakes
@@ -103,7 +104,7 @@
             settings.timings,
         )
         self.status = node_status.NodeStatus(
-            settings.limits, self.configuration, self.ledger
+            settings.limits, self.configuration
         )
         self.plain = plain_endpoint.PlainEndpoint(
             settings.node.id,
@@ -137,6 +138,16 @@
             self._on_own_notice,
         )
         self.executor = self._make_executor(clients)
+        self.metrics.add_collector(
+            control_collector.ControlCollector(
+                clients.traffic_by_part
+                | {
+                    'links': self.links.traffic,
+                    'peers': self.peer_server.traffic,
+                },
+                self._append_count,
+            )
+        )
 
     @classmethod
     def from_settings(cls, settings: settings_module.NodeSettings) -> 'Node':
@@ -212,6 +223,9 @@
             if self.membership.active_node_ids()[0] == self.settings.node.id:
                 await self.configuration.write_snapshot_if_due()
 
+    def _append_count(self) -> int:
+        return self.ledger.append_count + self.configuration.append_count
+
     def _catalogue(self):
         return self.configuration.catalogue
 
--- a/packages/node/src/foxtailrelay_node/internal/node_status.py
+++ b/packages/node/src/foxtailrelay_node/internal/node_status.py
@@ -4,7 +4,6 @@
 from foxtailrelay_core import settings as settings_module
 
 from foxtailrelay_node.internal.catalogue import configuration as configs
-from foxtailrelay_node.internal.ledger import ledger as ledgers
 from foxtailrelay_node.internal import metrics as metrics_module
 
 
@@ -17,21 +16,17 @@
         How many requests the node takes on.
     configuration : Configuration
         Must have been read before the node is ready.
-    ledger : Ledger
-        Counts appends.
     """
 
     def __init__(
         self,
         limits: settings_module.LimitSettings,
         configuration: configs.Configuration,
-        ledger: ledgers.Ledger,
     ) -> None:
         self.in_flight = 0
         self.leaving = False
         self._limits = limits
         self._configuration = configuration
-        self._ledger = ledger
 
     def not_ready_reason(self) -> str:
         """Return why no new connections should come; empty if they may."""
@@ -73,6 +68,3 @@
         """Set the gauges that are read, not counted."""
         metrics.requests_in_flight.set(self.in_flight)
         metrics.configuration_revision.set(self._configuration.revision)
-        metrics.log_appends.set(
-            self._ledger.append_count + self._configuration.append_count
-        )
--- a/packages/node/src/foxtailrelay_node/internal/platform/http_caller.py
+++ b/packages/node/src/foxtailrelay_node/internal/platform/http_caller.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from foxtailrelay_core import messages
 import httpcore
 import trio
 
@@ -9,6 +10,7 @@
 
 _SEND_STARTED = 'http11.send_request_headers.started'
 _KEEPALIVE_EXPIRY_S = 4.0
+_FIRST_LINE_BYTES = 40
 
 
 class _SendWatch:
@@ -50,6 +52,7 @@
         longest_answer_bytes: int,
         keep_alive: bool = True,
     ) -> None:
+        self.traffic = messages.TrafficCount()
         self._connect_timeout_s = connect_timeout_s
         self._longest_answer_bytes = longest_answer_bytes
         self._pool = httpcore.AsyncConnectionPool(
@@ -74,15 +77,18 @@
         }
         with trio.move_on_after(timeout_s):
             try:
+                framed = _with_framing(url, headers, body)
+                self.traffic.sent_bytes += _size(framed) + len(body)
                 response = await self._pool.handle_async_request(
                     httpcore.Request(
                         method,
                         url,
-                        headers=_with_framing(url, headers, body),
+                        headers=framed,
                         content=body,
                         extensions=extensions,
                     )
                 )
+                self.traffic.received_bytes += _size(response.headers)
                 try:
                     content = await self._read_body(response)
                 finally:
@@ -103,6 +109,7 @@
         content = bytearray()
         async for chunk in response.aiter_stream():
             content += chunk
+            self.traffic.received_bytes += len(chunk)
             if len(content) > self._longest_answer_bytes:
                 return None
         return bytes(content)
@@ -124,6 +131,13 @@
     return framed
 
 
+def _size(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the bytes that headers and their line take, nearly."""
+    return _FIRST_LINE_BYTES + sum(
+        len(name) + len(value) + 4 for name, value in headers
+    )
+
+
 def _decoded(
     headers: list[tuple[bytes, bytes]],
 ) -> tuple[tuple[str, str], ...]:
--- a/packages/node/src/foxtailrelay_node/internal/platform/http_engine_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/platform/http_engine_client.py
@@ -2,6 +2,7 @@
 
 import json
 
+from foxtailrelay_core import messages
 import httpcore
 import trio
 
@@ -100,6 +101,11 @@
             max_connections=None, keepalive_expiry=4.0
         )
 
+    @property
+    def traffic(self) -> messages.TrafficCount:
+        """Bytes of reports and orders, not of answers."""
+        return self._reports.traffic
+
     async def open_stream(
         self,
         address: backend_client.BackendAddress,
--- a/packages/node/src/foxtailrelay_node/internal/platform_clients.py
+++ b/packages/node/src/foxtailrelay_node/internal/platform_clients.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from foxtailrelay_core import messages
 from foxtailrelay_core import settings as settings_module
 
 from foxtailrelay_node.internal.members import transport
@@ -26,6 +27,7 @@
     engines: engine_client.EngineClient
     backends: backend_client.BackendClient
     transport: transport.PeerTransport
+    traffic_by_part: dict[str, messages.TrafficCount] = {}
 
     @classmethod
     def from_settings(
@@ -36,6 +38,13 @@
         platform_caller = http_caller.HttpCaller(
             timings.connect_timeout_s, _LONGEST_PLATFORM_ANSWER_BYTES
         )
+        engines = http_engine_client.HttpEngineClient(
+            timings.connect_timeout_s, timings.stream_silence_s
+        )
+        traffic_by_part = {
+            'platform': platform_caller.traffic,
+            'engines': engines.traffic,
+        }
         return cls(
             http_log_client.HttpLogClient(
                 platform_caller,
@@ -47,11 +56,10 @@
                 settings.platform.cloud_url,
                 timings.log_timeout_s,
             ),
-            http_engine_client.HttpEngineClient(
-                timings.connect_timeout_s, timings.stream_silence_s
-            ),
+            engines,
             http_backend_client.HttpBackendClient(
                 timings.connect_timeout_s, settings.limits.answer_bytes
             ),
             transport.TcpTransport(),
+            traffic_by_part,
         )
