--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 lint: $(INSTALLED)
 	$(VENV)/bin/ruff format --check .
-	$(VENV)/bin/flake8 packages tests demo
+	$(VENV)/bin/flake8 packages tests demo bench
 
 format: $(INSTALLED)
 	$(VENV)/bin/ruff format .
@@ -43,3 +43,6 @@
 
 bench-capacity: $(INSTALLED)
 	$(PYTHON) bench/capacity_bench.py
+
+bench-policy: $(INSTALLED)
+	$(PYTHON) bench/policy_bench.py
--- a/bench/capacity_bench.py
+++ b/bench/capacity_bench.py
@@ -17,9 +17,10 @@
 from foxtailrelay_node.internal.routing import engine_state
 from foxtailrelay_standins import local
 import httpcore
+import trio
+
 import line_fit
 import process_usage
-import trio
 
 _DIRECTORY = pathlib.Path('run/bench-capacity')
 _TOKEN = 'bench.secret'
--- /dev/null
+++ b/bench/in_process_engines.py
@@ -0,0 +1,118 @@
+"""Engine models reached without a network, in virtual time."""
+
+import json
+
+from foxtailrelay_core import prefixes
+from foxtailrelay_node.internal.platform import engine_client
+from foxtailrelay_node.internal.platform import engine_outcomes
+from foxtailrelay_standins import models
+import trio
+
+_SILENCE_S = 2.0
+
+
+class InProcessStream(engine_client.EngineStream):
+    """Reads one generation."""
+
+    def __init__(self, engines, name, generation, after_event):
+        self._engines = engines
+        self._name = name
+        self._generation = generation
+        self._sent = after_event
+
+    async def next_item(self) -> engine_outcomes.StreamItem:
+        """Return the next event, the end, or how the stream broke."""
+        generation = self._generation
+        if self._sent > generation.request.max_tokens:
+            return engine_outcomes.StreamEnd()
+        await generation.wait_past(self._sent)
+        if self._name in self._engines.down:
+            return engine_outcomes.StreamBroken('connection reset')
+        if self._sent < len(generation.tokens):
+            data = _token_event(generation.tokens[self._sent])
+        elif generation.is_complete:
+            data = _usage(generation)
+        else:
+            return engine_outcomes.StreamBroken('cancelled')
+        self._sent += 1
+        return engine_outcomes.StreamEvent(self._sent, data)
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+class InProcessEngines(engine_client.EngineClient):
+    """The client of one node.
+
+    Parameters
+    ----------
+    model_by_name : dict of str to EngineModel
+        The engines.
+    latency_s : float
+        One-way latency.
+    """
+
+    def __init__(
+        self, model_by_name: dict[str, models.EngineModel], latency_s: float
+    ) -> None:
+        self.down: set[str] = set()
+        self._model_by_name = model_by_name
+        self._latency_s = latency_s
+
+    async def open_stream(self, address, request):
+        """Start or resume a request."""
+        await trio.sleep(self._latency_s)
+        if address.name in self.down:
+            return engine_outcomes.StreamBroken('cannot connect')
+        fields = json.loads(request.body)
+        generation = self._model_by_name[address.name].submit(
+            models.GenerationRequest(
+                request.request_id,
+                fields['model'],
+                prefixes.prompt_text(fields['messages']),
+                fields['max_tokens'],
+                request.priority,
+                fields.get('partial_answer', ''),
+            )
+        )
+        return InProcessStream(
+            self, address.name, generation, request.after_event
+        )
+
+    async def cancel(self, address, request_id):
+        """Stop computing a request."""
+        self._model_by_name[address.name].cancel(request_id)
+
+    async def load(self, address):
+        """Return the engine's load report."""
+        await trio.sleep(2 * self._latency_s)
+        if address.name in self.down:
+            return None
+        return self._model_by_name[address.name].load()
+
+    async def cache_events(self, address, from_sequence):
+        """Return cache events from a sequence number on."""
+        await trio.sleep(2 * self._latency_s)
+        if address.name in self.down:
+            return None
+        return self._model_by_name[address.name].cache_events(from_sequence)
+
+    async def order(self, address, fencing, action, argument):
+        """Give an order."""
+        model = self._model_by_name[address.name]
+        return model.order(fencing, action, argument)['accepted']
+
+
+def _token_event(token: str) -> bytes:
+    """Return the data of one token's event."""
+    return b'{"choices": [{"delta": {"content": "%b"}}]}' % token.encode()
+
+
+def _usage(generation: models.Generation) -> bytes:
+    """Return the last event's data."""
+    choices = [{'delta': {}, 'finish_reason': 'stop'}]
+    usage = {
+        'prompt_tokens': generation.prompt_tokens,
+        'prompt_tokens_details': {'cached_tokens': generation.cached_tokens},
+    }
+    return json.dumps({'choices': choices, 'usage': usage}).encode()
--- /dev/null
+++ b/bench/policy_bench.py
@@ -0,0 +1,310 @@
+"""Routing policies compared in virtual time: ``make bench-policy``.
+
+Several nodes route the same requests over engine models of differing speed
+and price, in calm and in a wave that takes one data centre.  Load reports
+lag, and cache events come late and with gaps.
+"""
+
+import concurrent.futures
+import itertools
+import os
+import statistics
+import typing
+
+from foxtailrelay_core import settings
+from foxtailrelay_node.internal.callers import chat_request
+from foxtailrelay_node.internal.callers import event_sink
+from foxtailrelay_node.internal.callers import model_dispatcher
+from foxtailrelay_node.internal.catalogue import catalogue
+from foxtailrelay_node.internal.catalogue import catalogue_fold
+from foxtailrelay_node.internal.catalogue import options
+from foxtailrelay_node.internal import metrics
+from foxtailrelay_node.internal.routing import cost_policy
+from foxtailrelay_node.internal.routing import engine_watch
+from foxtailrelay_node.internal.routing import model_router
+from foxtailrelay_standins import models
+import logbook
+import trio
+from trio import testing
+
+import baseline_policies
+import in_process_engines
+import policy_workload
+
+_NODES = 4
+_WORKERS = int(os.environ.get('POLICY_WORKERS', str(os.cpu_count())))
+_SECONDS = float(os.environ.get('POLICY_SECONDS', '90'))
+_SEEDS = (1, 2, 3)
+_POLL_INTERVAL_S = settings.TimingSettings().engine_poll_interval_s
+_WARM_UP_S = 10.0
+_DEADLINE_S = 20.0
+_BATCH_DEADLINE_S = 300.0
+_NOTICE_S = 5.0
+_OUTAGE_S = 30.0
+_FINISH_S = 60.0
+POLICIES = ('round-robin', 'least-outstanding', 'prefix-hash', 'cost', 'bound')
+
+
+class Outcome(typing.NamedTuple):
+    """How one request went."""
+
+    is_batch: bool
+    organisation: str
+    whole: bool
+    first_s: float
+    interval_s: float
+
+
+class Score(typing.NamedTuple):
+    """What one run measured.
+
+    ``cost`` is the price of the time in which engines had work, for 1,000
+    interactive requests on time; ``recomputed`` is in tokens a request.
+    """
+
+    on_time: float
+    cost: float
+    recomputed: float
+    first_p95_s: float
+    interval_p95_ms: float
+    batch_done: float
+    worst_organisation: float
+
+
+class _Sink(event_sink.EventSink):
+    """Times the events of one answer."""
+
+    def __init__(self) -> None:
+        self.first_s = 0.0
+        self.last_s = 0.0
+        self.count = 0
+
+    async def take(self, engine, event):
+        self.last_s = trio.current_time()
+        if self.count == 0:
+            self.first_s = self.last_s
+        self.count += 1
+
+
+class _Configuration:
+    """The part of the configuration that the engine watch needs."""
+
+    def __init__(self, deployment) -> None:
+        self.fold = catalogue_fold.CatalogueFold()
+        self.catalogue = catalogue.Catalogue(
+            service_by_name={'model': options.Service('model')},
+            backend_by_name=deployment.backend_by_name,
+        )
+
+
+class PolicyRun:
+    """One run of one policy."""
+
+    def __init__(self, deployment, policy_name, seed, wave) -> None:
+        self._deployment = deployment
+        self._policy_name = policy_name
+        self._wave = wave
+        self._arrivals = policy_workload.Workload(deployment, seed).arrivals(
+            _SECONDS
+        )
+        self._routing = settings.RoutingSettings(
+            recomputed_token_cost=deployment.recomputed_token_cost
+        )
+        self._outcomes: list[Outcome] = []
+        self._leaving: set[str] = set()
+        self._number = itertools.count()
+
+    async def run(self) -> Score:
+        """Run to the end and return the score."""
+        computed: set[int] = set()
+        model_by_name = {
+            name: models.EngineModel(profile, computed)
+            for name, profile in self._deployment.profile_by_name.items()
+        }
+        engines = in_process_engines.InProcessEngines(
+            model_by_name, self._deployment.latency_s
+        )
+        async with trio.open_nursery() as nursery:
+            for model in model_by_name.values():
+                await nursery.start(model.run)
+            dispatchers = [
+                self._make_dispatcher(engines, model_by_name, nursery)
+                for _ in range(_NODES)
+            ]
+            if self._wave:
+                nursery.start_soon(self._run_wave, engines, model_by_name)
+            async with trio.open_nursery() as callers:
+                for arrival in self._arrivals:
+                    await trio.sleep_until(arrival.time_s)
+                    callers.start_soon(
+                        self._request,
+                        dispatchers[next(self._number) % _NODES],
+                        arrival,
+                    )
+                callers.cancel_scope.deadline = trio.current_time() + _FINISH_S
+            nursery.cancel_scope.cancel()
+        return self._score(model_by_name)
+
+    def _make_dispatcher(self, engines, model_by_name, nursery):
+        """Build the routing of one node."""
+        watch = engine_watch.EngineWatch(
+            engines,
+            _Configuration(self._deployment),
+            self._leaving,
+            _POLL_INTERVAL_S,
+        )
+        nursery.start_soon(watch.run)
+        router = model_router.ModelRouter(
+            watch, self._make_policy(model_by_name)
+        )
+        return model_dispatcher.ModelDispatcher(
+            engines, watch, router, metrics.Metrics(), self._routing
+        )
+
+    def _make_policy(self, model_by_name):
+        match self._policy_name:
+            case 'round-robin':
+                return baseline_policies.RoundRobinPolicy()
+            case 'least-outstanding':
+                return baseline_policies.LeastOutstandingPolicy()
+            case 'prefix-hash':
+                return baseline_policies.PrefixHashPolicy()
+            case 'cost':
+                return cost_policy.CostPolicy(self._routing)
+            case 'bound':
+                return baseline_policies.AllSeeingPolicy(
+                    model_by_name, self._routing
+                )
+
+    async def _run_wave(self, engines, model_by_name) -> None:
+        """Reclaim the first data centre's engines, and bring them back."""
+        backends = self._deployment.backend_by_name
+        zone = next(iter(backends.values())).zone
+        names = [n for n, backend in backends.items() if backend.zone == zone]
+        await trio.sleep(_SECONDS / 3)
+        self._leaving.update(backends[name].vm for name in names)
+        await trio.sleep(_NOTICE_S)
+        engines.down.update(names)
+        for name in names:
+            model_by_name[name].restart()
+        await trio.sleep(_OUTAGE_S)
+        engines.down.difference_update(names)
+        self._leaving.clear()
+
+    async def _request(self, dispatcher, arrival) -> None:
+        """Serve one request and note how it went."""
+        messages = [{'role': 'user', 'content': arrival.prompt}]
+        fields = {'model': 'model', 'messages': messages}
+        started_s = trio.current_time()
+        deadline_s = _BATCH_DEADLINE_S if arrival.is_batch else _DEADLINE_S
+        job = model_dispatcher.ModelJob(
+            f'{arrival.organisation}.{arrival.time_s}',
+            arrival.organisation,
+            chat_request.ChatRequest(
+                fields, 'model', messages, True, arrival.tokens, True
+            ),
+            arrival.is_batch,
+            started_s + deadline_s,
+        )
+        sink = _Sink()
+        failure = await dispatcher.serve(job, sink)
+        if arrival.time_s < _WARM_UP_S:
+            return
+        self._outcomes.append(
+            Outcome(
+                arrival.is_batch,
+                arrival.organisation,
+                failure is None,
+                sink.first_s - started_s,
+                (sink.last_s - sink.first_s) / max(1, sink.count - 1),
+            )
+        )
+
+    def _score(self, model_by_name) -> Score:
+        """Compute the measures; what is not whole counts as late."""
+        counted = [a for a in self._arrivals if a.time_s >= _WARM_UP_S]
+        interactive = [o for o in self._outcomes if not o.is_batch]
+        on_time = [o for o in interactive if self._is_on_time(o)]
+        asked = [a for a in counted if not a.is_batch]
+        batch_asked = [a for a in counted if a.is_batch]
+        batch_done = [o for o in self._outcomes if o.is_batch and o.whole]
+        cost = sum(
+            model.busy_s / 3600 * self._deployment.backend_by_name[name].price
+            for name, model in model_by_name.items()
+        )
+        recomputed = sum(m.recomputed_tokens for m in model_by_name.values())
+        organisations = {a.organisation for a in asked}
+        return Score(
+            len(on_time) / len(asked),
+            1000 * cost / max(1, len(on_time)),
+            recomputed / len(self._arrivals),
+            _percentile([o.first_s for o in interactive if o.whole], 95),
+            1000 * _percentile([o.interval_s for o in interactive], 95),
+            len(batch_done) / max(1, len(batch_asked)),
+            min(
+                sum(o.organisation == name for o in on_time)
+                / sum(a.organisation == name for a in asked)
+                for name in organisations
+            ),
+        )
+
+    def _is_on_time(self, outcome: Outcome) -> bool:
+        return (
+            outcome.whole
+            and outcome.first_s <= self._routing.first_token_target_s
+            and outcome.interval_s <= self._routing.token_interval_target_s
+        )
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    """Return a percentile; 0 for no values."""
+    if len(values) < 2:
+        return 0.0
+    return statistics.quantiles(values, n=100)[percent - 1]
+
+
+def run_one(case) -> Score:
+    """Run one case in this process, the same way every time."""
+    deployment_name, policy_name, seed, wave = case
+    deployment = {
+        'mwangi': policy_workload.MWANGI,
+        'klippvik': policy_workload.KLIPPVIK,
+    }[deployment_name]
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+    with logbook.NullHandler().applicationbound():
+        return trio.run(
+            PolicyRun(deployment, policy_name, seed, wave).run,
+            clock=testing.MockClock(autojump_threshold=0),
+        )
+
+
+def main() -> None:
+    """Run all cases and print the table."""
+    cases = list(
+        itertools.product(
+            ('mwangi', 'klippvik'), POLICIES, _SEEDS, (False, True)
+        )
+    )
+    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+        score_by_case = dict(zip(cases, pool.map(run_one, cases), strict=True))
+    print(f'{_SECONDS:g} s of requests, seeds {_SEEDS}; mean (lowest-highest)')
+    for deployment, wave in itertools.product(
+        ('mwangi', 'klippvik'), (False, True)
+    ):
+        print(f'\n{deployment}, {"wave" if wave else "calm"}')
+        print(f'{"policy":<18}' + ''.join(f'{f:>26}' for f in Score._fields))
+        for policy_name in POLICIES:
+            scores = [
+                score_by_case[deployment, policy_name, seed, wave]
+                for seed in _SEEDS
+            ]
+            cells = [
+                f'{statistics.mean(v):>10.4g} ({min(v):.4g}-{max(v):.4g})'
+                for v in zip(*scores, strict=True)
+            ]
+            print(f'{policy_name:<18}' + ''.join(f'{c:>26}' for c in cells))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
@@ -62,6 +62,8 @@
     ) -> None:
         self._log = log
         self._holder = holder
+        self._node_id = holder.partition('/')[0]
+        self._preferred_nodes = partition_map.PreferredNodes(PARTITION_COUNT)
         self._nodes = nodes
         self._catalogue = catalogue
         self._sender = sender
@@ -106,9 +108,13 @@
     def preferred_node(self, key: str) -> str:
         """Return the node that should run a key's call."""
         number = partition_map.partition_of(key, PARTITION_COUNT)
-        return partition_map.preferred_node(
-            number, self._nodes.active_node_ids()
-        )
+        return self._preferred_node(number)
+
+    async def follow_all(self, timeout_s: float) -> None:
+        """Follow every partition, so that all open entries are known."""
+        with trio.move_on_after(timeout_s):
+            for number in range(PARTITION_COUNT):
+                await self._follow(number).follower.caught_up.wait()
 
     def open_entries(self) -> list[entries.LedgerEntry]:
         """Return the unfinished entries that this node knows."""
@@ -185,7 +191,7 @@
         )
         match outcome:
             case write_outcomes.WriteRefused():
-                return _failed(_Kind.LOG_UNAVAILABLE, outcome.cause)
+                return _log_unavailable(outcome)
             case write_outcomes.WriteUnsettled():
                 return _failed(
                     _Kind.OUTCOME_UNKNOWN,
@@ -215,6 +221,11 @@
         """Give accepted calls that were not sent to the other nodes."""
         self._leaving = True
 
+    def _preferred_node(self, number: int) -> str:
+        return self._preferred_nodes.of_partition(
+            number, self._nodes.active_node_ids()
+        )
+
     def _partition(self, key: str) -> partitions.Partition:
         """Return the partition of a key, followed from now on."""
         number = partition_map.partition_of(key, PARTITION_COUNT)
@@ -294,7 +305,7 @@
                 fingerprint=call.fingerprint(),
             )
             if not isinstance(outcome, write_outcomes.Written):
-                return _failed(_Kind.LOG_UNAVAILABLE, outcome.cause)
+                return _log_unavailable(outcome)
             if not partition.holds(
                 call.key, attempt, call.request_id, _State.DISPATCHING
             ):
@@ -414,8 +425,7 @@
         for partition in list(self._partition_by_number.values()):
             if not partition.follower.caught_up.is_set():
                 continue
-            preferred = partition_map.preferred_node(partition.number, active)
-            mine = preferred == self._holder.partition('/')[0]
+            mine = self._preferred_node(partition.number) == self._node_id
             for entry in list(partition.fold.entry_by_key.values()):
                 self._look_after_if_free(partition, entry, mine)
             if mine:
@@ -577,6 +587,16 @@
     return call_results.CallFailed(errors.Failure(kind, detail))
 
 
+def _log_unavailable(
+    outcome: write_outcomes.WriteRefused | write_outcomes.WriteUnsettled,
+) -> call_results.CallFailed:
+    return _failed(
+        _Kind.LOG_UNAVAILABLE,
+        'the call was not run, because the log service did not take its '
+        f'record: {outcome.cause}',
+    )
+
+
 def _still_running() -> call_results.CallFailed:
     return _failed(
         _Kind.OUTCOME_UNKNOWN,
--- a/packages/node/src/foxtailrelay_node/internal/ledger/node_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/node_view.py
@@ -8,7 +8,10 @@
 
     @abc.abstractmethod
     def active_node_ids(self) -> list[str]:
-        """Return the nodes that take work, this one included."""
+        """Return the nodes that take work, or at least this one.
+
+        The list is the same object until the view changes.
+        """
 
     @abc.abstractmethod
     def is_gone(self, holder: str) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/ledger/partition_map.py
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/partition_map.py
@@ -22,3 +22,31 @@
         return xxhash.xxh64_intdigest(text.encode()), node_id
 
     return max(node_ids, key=weight)
+
+
+class PreferredNodes:
+    """The preferred node of each partition, computed once for each view.
+
+    With hundreds of nodes the hashing costs milliseconds, too much for each
+    request and each look at the open entries.
+
+    Parameters
+    ----------
+    partition_count : int
+        Number of partitions.
+    """
+
+    def __init__(self, partition_count: int) -> None:
+        self._partition_count = partition_count
+        self._active_node_ids: list[str] = []
+        self._node_by_partition: list[str] = []
+
+    def of_partition(self, partition: int, active_node_ids: list[str]) -> str:
+        """Return the node that should serve a partition."""
+        if active_node_ids is not self._active_node_ids:
+            self._active_node_ids = active_node_ids
+            self._node_by_partition = [
+                preferred_node(number, active_node_ids)
+                for number in range(self._partition_count)
+            ]
+        return self._node_by_partition[partition]
--- a/packages/node/src/foxtailrelay_node/internal/members/membership.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/membership.py
@@ -49,6 +49,7 @@
         self._timings = timings
         self._member_by_id: dict[str, members.Member] = {}
         self._transmissions_left_by_id: dict[str, int] = {}
+        self._active_node_ids: list[str] = []
         self._keep(own)
         self._seed_by_id = {
             seed.id: seed for seed in seeds if seed.id != own.node_id
@@ -62,13 +63,18 @@
         }
 
     def active_node_ids(self) -> list[str]:
-        """Return the nodes that take work, sorted."""
-        active = [
-            node_id
-            for node_id, member in self._member_by_id.items()
-            if member.digest.state in (_State.ALIVE, _State.SUSPECT)
-        ]
-        return sorted(active) or [self.own.node_id]
+        """Return the nodes that take work, sorted.
+
+        The list is the same object until the view changes.
+        """
+        if not self._active_node_ids:
+            active = [
+                node_id
+                for node_id, member in self._member_by_id.items()
+                if member.digest.state in (_State.ALIVE, _State.SUSPECT)
+            ]
+            self._active_node_ids = sorted(active) or [self.own.node_id]
+        return self._active_node_ids
 
     def is_gone(self, holder: str) -> bool:
         """Tell whether ``node/incarnation`` seems to be gone for good."""
@@ -225,6 +231,7 @@
         self._member_by_id[digest.node_id] = members.Member(
             digest, trio.current_time()
         )
+        self._active_node_ids = []
         doublings = math.ceil(math.log2(len(self._member_by_id) + 1))
         self._transmissions_left_by_id[digest.node_id] = (
             _TRANSMISSIONS_PER_DOUBLING * doublings
--- a/packages/node/src/foxtailrelay_node/internal/operators/executor.py
+++ b/packages/node/src/foxtailrelay_node/internal/operators/executor.py
@@ -7,6 +7,7 @@
 import logbook
 import trio
 
+from foxtailrelay_node.internal.catalogue import change as changes
 from foxtailrelay_node.internal.catalogue import configuration as configs
 from foxtailrelay_node.internal.members import link_keeper
 from foxtailrelay_node.internal.operators import change_planner
@@ -122,9 +123,7 @@
         for change in planned:
             change['change_id'] = self._configuration.new_change_id()
             revision, failure = await self._configuration.submit(change)
-            label = (
-                f'{change["action"]} {change["object_type"]} {change["name"]}'
-            )
+            label = _label(change)
             _LOG.info(
                 'statement operator={} change={} revision={} result={}',
                 request.operator,
@@ -158,5 +157,12 @@
         return done._replace(in_force=in_force, node_count=node_count)
 
 
+def _label(change: changes.Change) -> str:
+    """Name a change for messages and logs."""
+    if change['object_type'] == 'grant':
+        return f'{change["action"]} {change["name"]}'
+    return f'{change["action"]} {change["object_type"]} {change["name"]}'
+
+
 def _failed(kind: errors.ErrorKind, detail: str) -> results.FailedResult:
     return results.FailedResult(errors.Failure(kind, detail))
--- a/packages/node/src/foxtailrelay_node/internal/operators/tables.py
+++ b/packages/node/src/foxtailrelay_node/internal/operators/tables.py
@@ -105,7 +105,7 @@
 
 
 class RequestsTable(Table):
-    """Unfinished requests of the ledger that this node knows."""
+    """Unfinished requests of the ledger, of all partitions."""
 
     columns = ('key', 'service', 'state', 'attempt', 'holder', 'cause')
 
@@ -114,6 +114,7 @@
 
     async def rows(self) -> list[Row]:
         """Return all rows."""
+        await self._ledger.follow_all(_ASK_TIMEOUT_S)
         return [
             {
                 'key': entry.key,
--- a/packages/standins/src/foxtailrelay_standins/internal/engine_model.py
+++ b/packages/standins/src/foxtailrelay_standins/internal/engine_model.py
@@ -1,5 +1,6 @@
 """Model of a model engine with continuous batching and a prefix cache."""
 
+import contextlib
 import typing
 
 from foxtailrelay_core import prefixes
@@ -58,6 +59,7 @@
         self.generation_by_request_id: dict[str, generations.Generation] = {}
         self.recomputed_tokens = 0
         self.computed_tokens = 0
+        self.busy_s = 0.0
         self.orders: list[dict] = []
         self.newest_fencing = -1
         self.leaving = False
@@ -75,6 +77,8 @@
         self._report = LoadReport(
             queued_tokens=0, running=0, slots=profile.slots, time_s=0.0
         )
+        self._working = 0
+        self._working_since_s = 0.0
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -134,10 +138,30 @@
         )
         return OrderResult(accepted=True, newest_fencing=self.newest_fencing)
 
+    def cached_tokens(self, blocks: list[int]) -> int:
+        """Return how many leading tokens are cached just now."""
+        return self._cache.cached_count(blocks) * prefixes.BLOCK_TOKENS
+
     def export_blocks(self, blocks: list[int]) -> list[int]:
         """Return the leading blocks whose KV cache can be exported."""
         return blocks[: self._cache.cached_count(blocks)]
 
+    @property
+    def queued_tokens(self) -> int:
+        """Prompt tokens still to compute, without any lag."""
+        return self._queued_tokens
+
+    @property
+    def running(self) -> int:
+        """Requests being decoded, without any lag."""
+        return len(self._decoding)
+
+    def restart(self) -> None:
+        """Lose all work and the whole cache, as a new VM."""
+        for generation in self.generation_by_request_id.values():
+            generation.cancel()
+        self._cache = block_cache.BlockCache(self.profile.cache_blocks)
+
     def import_blocks(self, blocks: list[int]) -> None:
         """Take over the KV cache of blocks computed elsewhere."""
         self._store(blocks)
@@ -177,7 +201,10 @@
         cached_blocks = self._cache.cached_count(blocks)
         cached_tokens = cached_blocks * prefixes.BLOCK_TOKENS
         uncached_tokens = max(1, generation.prompt_tokens - cached_tokens)
-        await trio.sleep(uncached_tokens / self.profile.prefill_tokens_per_s)
+        with self._busy():
+            await trio.sleep(
+                uncached_tokens / self.profile.prefill_tokens_per_s
+            )
         generation.cached_tokens = cached_tokens
         computed = blocks[cached_blocks:]
         repeated = [b for b in computed if b in self._computed_blocks]
@@ -208,7 +235,8 @@
                 await self._decoding_started.wait()
             fullness = len(self._decoding) / self.profile.slots
             slowdown = 1 + (self.profile.full_batch_slowdown - 1) * fullness
-            await trio.sleep(self.profile.token_interval_s * slowdown)
+            with self._busy():
+                await trio.sleep(self.profile.token_interval_s * slowdown)
             for generation in list(self._decoding):
                 if not generation.ended:
                     generation.add_token()
@@ -216,6 +244,19 @@
                     self._decoding.remove(generation)
                     self._slots.release()
 
+    @contextlib.contextmanager
+    def _busy(self) -> typing.Iterator[None]:
+        """Count the time in which the engine has any work."""
+        if self._working == 0:
+            self._working_since_s = trio.current_time()
+        self._working += 1
+        try:
+            yield
+        finally:
+            self._working -= 1
+            if self._working == 0:
+                self.busy_s += trio.current_time() - self._working_since_s
+
     async def _report_forever(self) -> None:
         """Refresh the load report every ``load_lag_s`` seconds."""
         while True:
