Poll engines once a second; add other nodes' queue to the own one

Cause: one node that watches 20 engines spent 21.5% of a core on polls (the budget for all control is 1.6%), and with fewer polls the reports are older.

Change 1: engine_poll_interval_s from 0.25 to 1.0.

--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -42,7 +42,8 @@
 _NOTICE_S = 5.0
 _OUTAGE_S = 30.0
 _FINISH_S = 60.0
-POLICIES = ('round-robin', 'least-outstanding', 'prefix-hash', 'cost', 'bound')
+_ALL_POLICIES = 'round-robin least-outstanding prefix-hash cost bound'
+POLICIES = os.environ.get('POLICY_NAMES', _ALL_POLICIES).split()
 
 
 class Outcome(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/node_settings.py
+++ b/packages/core/src/foxtailrelay_core/internal/node_settings.py
@@ -122,7 +122,7 @@
     heartbeat_interval_s: Seconds = 0.5
     peer_suspect_s: Seconds = 1.5
     peer_dead_s: Seconds = 5.0
-    engine_poll_interval_s: Seconds = 0.25
+    engine_poll_interval_s: Seconds = 1.0
     log_poll_wait_s: Seconds = 5.0
     log_timeout_s: Seconds = 2.0
     drain_timeout_s: Seconds = 30.0
--- a/packages/node/src/foxtailrelay_node/internal/routing/engine_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/engine_state.py
@@ -32,6 +32,7 @@
         self.prefixes = prefix_index.PrefixIndex()
         self.report: engine_outcomes.LoadReport | None = None
         self.report_at_s = -math.inf
+        self._others_queued_tokens = 0.0
         self.prefill_tokens_per_s = backend.prefill_tokens_per_s
         self.own_requests = 0
         self.own_queued_tokens = 0.0
@@ -52,6 +53,9 @@
     def note_report(self, report: engine_outcomes.LoadReport) -> None:
         """Take in a load report."""
         self.report = report
+        self._others_queued_tokens = max(
+            0.0, report['queued_tokens'] - self.own_queued_tokens
+        )
         self.report_at_s = trio.current_time()
         self.unreachable_until_s = -math.inf
 
@@ -73,15 +77,13 @@
     def expected_queue_tokens(self) -> float:
         """Return the prompt tokens expected to be computed first.
 
-        What the engine reported counts less the older it is; what this node
-        sent itself it knows without any delay.
+        What this node sent itself it knows without any delay.  What other
+        nodes sent stands in the engine's report, and counts less the older
+        the report is.
         """
-        reported = 0.0
-        if self.report is not None:
-            age_s = trio.current_time() - self.report_at_s
-            weight = 0.5 ** (age_s / _REPORT_HALF_LIFE_S)
-            reported = weight * self.report['queued_tokens']
-        return max(reported, self.own_queued_tokens)
+        age_s = trio.current_time() - self.report_at_s
+        weight = 0.5 ** (age_s / _REPORT_HALF_LIFE_S)
+        return self.own_queued_tokens + weight * self._others_queued_tokens
 
     def batch_fullness(self) -> float:
         """Return the share of the batch in use; above 1 requests wait."""
