Send batch prompts where they block others least

Cause: an engine computes one prompt at a time; a batch prompt of 4,200 tokens takes a second at the cheapest engine, and interactive requests behind it come late.

Change: batch requests take the cheapest engine that computes their prompt within half the first-token target, or else the one that is done soonest.

--- a/packages/node/src/foxtailrelay_node/internal/routing/cost_policy.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/cost_policy.py
@@ -13,6 +13,7 @@
 
 _TARGET_MARGIN = 0.7
 _HOME_BLOCKS = 4
+_BATCH_BLOCK_SHARE = 0.5
 
 
 class CostPolicy(policy.RoutingPolicy):
@@ -53,9 +54,7 @@
         target_s = self._settings.first_token_target_s * _TARGET_MARGIN
         on_time = [e for e in estimates if e.first_token_s <= target_s]
         if demand.is_batch:
-            return decision.Decision(
-                min(estimates, key=lambda e: e.cost), 'cheapest', estimates
-            )
+            return self._choose_for_batch(estimates)
         if not on_time:
             return decision.Decision(soonest, 'soonest', estimates)
         chosen = min(
@@ -64,6 +63,27 @@
         )
         return decision.Decision(chosen, 'cheapest-on-time', estimates)
 
+    def _choose_for_batch(
+        self, estimates: tuple[decision.Estimate, ...]
+    ) -> decision.Decision:
+        """Choose the cheapest engine that the prompt does not block long.
+
+        An engine computes one prompt at a time, so a long batch prompt at a
+        slow engine makes interactive requests behind it late.
+        """
+        longest_s = self._settings.first_token_target_s * _BATCH_BLOCK_SHARE
+
+        def block_s(estimate: decision.Estimate) -> float:
+            speed = estimate.engine.prefill_tokens_per_s
+            return estimate.computed_tokens / speed
+
+        short = [e for e in estimates if block_s(e) <= longest_s]
+        if short:
+            chosen = min(short, key=lambda e: e.cost)
+            return decision.Decision(chosen, 'cheapest-short', estimates)
+        chosen = min(estimates, key=block_s)
+        return decision.Decision(chosen, 'shortest-block', estimates)
+
 
 def _home_weight(demand: decision.ModelDemand, engine_name: str) -> int:
     """Rank an engine as the home of a prompt's prefix."""
