--- a/packages/core/src/foxtailrelay_core/internal/node_settings.py
+++ b/packages/core/src/foxtailrelay_core/internal/node_settings.py
@@ -119,7 +119,7 @@
     default_deadline_s: Seconds = 60.0
     connect_timeout_s: Seconds = 1.0
     stream_silence_s: Seconds = 2.0
-    heartbeat_interval_s: Seconds = 0.5
+    heartbeat_interval_s: Seconds = 1.0
     peer_suspect_s: Seconds = 1.5
     peer_dead_s: Seconds = 5.0
     engine_poll_interval_s: Seconds = 1.0
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -240,6 +240,10 @@
         found = self._cluster.statement_by_name.get(name)
         assert found == result, f'{name} was {found}'
 
+    def _do_one_stated(self, nursery, one, other):
+        found = [self._cluster.statement_by_name.get(n) for n in (one, other)]
+        assert sorted(map(str, found)) == ['accepted', 'conflict'], found
+
     def _do_same_revision(self, nursery):
         revisions = {
             name: node.configuration.revision
