Give orders to engines under leases whose fencing numbers come from the log

Change: a placement stream with claims (compare and set against the fencing number in force), intents and done records. One node leads each model service and gives load orders until the engine has taken them.

Found on the way: scenario paused-leader-no-fencing failed, the engine was ordered 'new' and then 'old'. The limit on the age of an order was counted from the reading back of its intent; a leader paused during the append woke, saw its own record as the newest it knew, and sent. The age now counts from before the append. Ruled out: reading on up to the end of the stream, which a pause right after it defeats in the same way.

--- a/packages/node/src/foxtailrelay_node/internal/catalogue/options.py
+++ b/packages/node/src/foxtailrelay_node/internal/catalogue/options.py
@@ -76,6 +76,9 @@
         Expected batch size; model engines only.
     state : {'serving', 'draining', 'retired'}
         Set by ``DRAIN`` and ``RETIRE``.
+    model : str
+        Model that the engine shall have loaded, set by ``LOAD MODEL``; empty
+        leaves the engine as it is.
     """
 
     service: str
@@ -89,6 +92,7 @@
     prefill_tokens_per_s: _PositiveNumber = 8000.0
     slots: typing.Annotated[int, pydantic.Field(ge=1)] = 64
     state: typing.Literal['serving', 'draining', 'retired'] = 'serving'
+    model: str = ''
 
 
 class PlacementRule(typing.NamedTuple):
--- a/packages/node/src/foxtailrelay_node/internal/node.py
+++ b/packages/node/src/foxtailrelay_node/internal/node.py
@@ -28,6 +28,7 @@
 from foxtailrelay_node.internal.operators import endpoint
 from foxtailrelay_node.internal.operators import executor
 from foxtailrelay_node.internal.operators import tables
+from foxtailrelay_node.internal.placement import placement as placements
 from foxtailrelay_node.internal import platform_clients
 from foxtailrelay_node.internal.routing import cost_policy
 from foxtailrelay_node.internal.routing import engine_watch
@@ -103,6 +104,14 @@
             senders.Sender(clients.backends, plain_routing),
             settings.timings,
         )
+        self.placement = placements.Placement(
+            clients.log,
+            self.holder,
+            self.membership,
+            self.configuration,
+            clients.engines,
+            settings.timings,
+        )
         self.status = node_status.NodeStatus(
             settings.limits, self.configuration
         )
@@ -187,6 +196,7 @@
             nursery.start_soon(self.membership.run)
             nursery.start_soon(self.engine_watch.run)
             nursery.start_soon(self._notices.run)
+            nursery.start_soon(self.placement.run)
             nursery.start_soon(self._write_snapshots)
             await nursery.start(self.links.run)
             await nursery.start(self.ledger.run)
--- a/packages/node/src/foxtailrelay_node/internal/operators/change_planner.py
+++ b/packages/node/src/foxtailrelay_node/internal/operators/change_planner.py
@@ -60,6 +60,11 @@
                 return [self._plan_grant('revoke', statement)]
             case language.DrainStatement() | language.RetireStatement():
                 return self._plan_state(statement)
+            case language.LoadStatement(artefact='model'):
+                wanted = {'model': statement.artefact_name}
+                return [
+                    self._change('alter', 'backend', statement.backend, wanted)
+                ]
             case _:
                 name = type(statement).__name__.removesuffix('Statement')
                 return errors.Failure(
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, by one leader for each service."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/placement/placement.py
@@ -0,0 +1,219 @@
+"""Brings engines to what the configuration wants of them."""
+
+import logbook
+import trio
+
+from foxtailrelay_core import settings as settings_module
+from foxtailrelay_node.internal.catalogue import configuration as configs
+from foxtailrelay_node.internal.catalogue import options
+from foxtailrelay_node.internal.ledger import node_view
+from foxtailrelay_node.internal.ledger import partition_map
+from foxtailrelay_node.internal.placement import placement_fold
+from foxtailrelay_node.internal.platform import backend_client
+from foxtailrelay_node.internal.platform import engine_client
+from foxtailrelay_node.internal.platform import log_client
+from foxtailrelay_node.internal.streams import group_writer
+from foxtailrelay_node.internal.streams import stream_follower
+from foxtailrelay_node.internal.streams import write_outcomes
+
+_LOG = logbook.Logger('foxtailrelay.placement')
+_Kind = placement_fold.PlacementRecordKind
+STREAM = 'placement'
+LOAD_MODEL = 'load-model'
+_INTERVAL_S = 1.0
+_MOST_SNAPSHOT_RECORDS = 1000
+# An order that has not left this long after its intent was begun is given
+# up.  A new leader waits as long before its first order to an engine
+# that does not check fencing numbers.
+LONGEST_ORDER_DELAY_S = 3.0
+
+
+class Placement:
+    """Leads the services that this node should lead, and gives orders.
+
+    Membership says who should lead; the log says who does.  Each order is
+    preceded by an intent record that must stand under the newest lease.
+
+    Parameters
+    ----------
+    log : LogClient
+        Where the placement stream stands.
+    holder : str
+        ``node/incarnation`` of this node.
+    nodes : NodeView
+        Which nodes are active.
+    configuration : Configuration
+        What is wanted of each engine.
+    client : EngineClient
+        Gives orders.
+    timings : TimingSettings
+        Waits and timeouts.
+    """
+
+    def __init__(
+        self,
+        log: log_client.LogClient,
+        holder: str,
+        nodes: node_view.NodeView,
+        configuration: configs.Configuration,
+        client: engine_client.EngineClient,
+        timings: settings_module.TimingSettings,
+    ) -> None:
+        self.fold = placement_fold.PlacementFold()
+        self.follower = stream_follower.StreamFollower(
+            log, STREAM, self.fold, timings.log_poll_wait_s
+        )
+        self._holder = holder
+        self._node_id = holder.partition('/')[0]
+        self._nodes = nodes
+        self._configuration = configuration
+        self._client = client
+        self._snapshot_interval_s = timings.snapshot_interval_s
+        self._leads_since_s_by_service: dict[str, float] = {}
+        self._writer = group_writer.GroupWriter(
+            log, self.follower, f'{holder}-{STREAM}', timings.log_timeout_s
+        )
+
+    async def run(self) -> None:
+        """Follow the stream and lead until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self._writer.run)
+            await self.follower.caught_up.wait()
+            while True:
+                await self._look_at_services()
+                await trio.sleep(_INTERVAL_S)
+
+    async def _look_at_services(self) -> None:
+        """Lead each service whose preferred leader this node is."""
+        active = self._nodes.active_node_ids()
+        catalogue = self._configuration.catalogue
+        for name, service in catalogue.service_by_name.items():
+            if service.kind != 'model':
+                continue
+            if not self._pending(name):
+                continue
+            preferred = partition_map.preferred_node(f'lead {name}', active)
+            if preferred == self._node_id and await self._lead(name):
+                await self._order_pending(name)
+        if active[0] == self._node_id and self.follower.is_snapshot_due(
+            _MOST_SNAPSHOT_RECORDS, self._snapshot_interval_s
+        ):
+            await self._writer.write_snapshot()
+
+    def _pending(self, service: str) -> dict[str, options.Backend]:
+        """Return the engines that have not taken what is wanted of them."""
+        pending = {}
+        backends = self._configuration.catalogue.backend_by_name
+        for name, backend in backends.items():
+            if backend.service != service or not backend.model:
+                continue
+            order = self.fold.order_by_backend.get(name)
+            if (
+                order is None
+                or not order.is_done
+                or order.argument != backend.model
+            ):
+                pending[name] = backend
+        return pending
+
+    async def _lead(self, service: str) -> bool:
+        """Hold the lease of a service; False if another claim won."""
+        lease = self.fold.lease_by_service.get(service)
+        if lease is None or lease.holder != self._holder:
+            await self._write(
+                _Kind.CLAIM,
+                service,
+                holder=self._holder,
+                replaces=self.fold.fencing(service),
+            )
+            lease = self.fold.lease_by_service.get(service)
+            self._leads_since_s_by_service[service] = trio.current_time()
+            _LOG.info(
+                'placement service={} chosen={} why=claim',
+                service,
+                lease.holder if lease else 'none',
+            )
+        return lease is not None and lease.holder == self._holder
+
+    async def _order_pending(self, service: str) -> None:
+        """Give the orders that are due, one engine after the other."""
+        since_s = self._leads_since_s_by_service.get(service, 0.0)
+        for name, backend in self._pending(service).items():
+            if not backend.checks_fencing:
+                # The last leader's order may still be on its way, and this
+                # engine would take it after ours.
+                await trio.sleep_until(since_s + LONGEST_ORDER_DELAY_S)
+            await self._order(service, name, backend)
+
+    async def _order(
+        self, service: str, name: str, backend: options.Backend
+    ) -> None:
+        """Record the intent, read it back, and give the order."""
+        # Taken before the write: after a pause in it, this node may have
+        # read its own record and nothing newer, and still be out of date.
+        intended_s = trio.current_time()
+        fencing = self.fold.fencing(service)
+        written = await self._write(
+            _Kind.INTENT,
+            service,
+            backend=name,
+            action=LOAD_MODEL,
+            argument=backend.model,
+            fencing=fencing,
+        )
+        if not written or not self._may_order(service, name, backend, fencing):
+            return
+        address = backend_client.BackendAddress(
+            name, backend.host, backend.port
+        )
+        if self._is_too_late(intended_s):
+            return
+        taken = await self._client.order(
+            address, fencing, LOAD_MODEL, backend.model
+        )
+        _LOG.info(
+            'placement service={} chosen={} action={} argument={} '
+            'fencing={} taken={}',
+            service,
+            name,
+            LOAD_MODEL,
+            backend.model,
+            fencing,
+            taken,
+        )
+        if taken:
+            await self._write(
+                _Kind.DONE, service, backend=name, fencing=fencing
+            )
+
+    def _is_too_late(self, intended_s: float) -> bool:
+        """Tell whether a new leader may no longer be waiting for this."""
+        return trio.current_time() - intended_s > LONGEST_ORDER_DELAY_S
+
+    def _may_order(
+        self,
+        service: str,
+        name: str,
+        backend: options.Backend,
+        fencing: int,
+    ) -> bool:
+        """Tell whether our intent stands and nothing newer has come."""
+        order = self.fold.order_by_backend.get(name)
+        return (
+            self.fold.fencing(service) == fencing
+            and order is not None
+            and order.fencing == fencing
+            and order.argument == backend.model
+        )
+
+    async def _write(
+        self,
+        kind: placement_fold.PlacementRecordKind,
+        service: str,
+        **fields: str | int,
+    ) -> bool:
+        """Write one record; True once it has been read back."""
+        record = {'kind': kind.value, 'service': service, **fields}
+        outcome = await self._writer.write(record)
+        return isinstance(outcome, write_outcomes.Written)
--- a/tests/common/cluster.py
+++ b/tests/common/cluster.py
@@ -127,7 +127,7 @@
             yield (
                 f'CREATE BACKEND {name} WITH (service = assistant, '
                 f"host = 'x', port = 1, zone = {ZONES[index % 4]}, "
-                f'vm = vm-{name})'
+                f'vm = vm-{name}, checks_fencing = yes)'
             )
 
     async def start_node(self, name):
--- a/tests/common/fake_engines.py
+++ b/tests/common/fake_engines.py
@@ -123,6 +123,9 @@
         return self._model_by_name[address.name].cache_events(from_sequence)
 
     async def order(self, address, fencing, action, argument):
+        if self.network.freeze_before_order:
+            self.network.freeze_before_order = False
+            self.network.freeze(self.node)
         if not await self._reaches(address.name):
             return None
         result = self._model_by_name[address.name].order(
--- a/tests/common/fake_log.py
+++ b/tests/common/fake_log.py
@@ -49,6 +49,9 @@
         self._nursery.start_soon(self._append, stream, data, pending)
         with trio.move_on_after(self._timeout_s):
             await pending.done.wait()
+        if self._network.freeze_after_intent and b'"intent"' in data:
+            self._network.freeze_after_intent = False
+            self._network.freeze(self._node)
         await self._network.gate(self._node)
         if not pending.done.is_set():
             return log_outcomes.AppendUnsettled('timeout')
--- a/tests/common/network.py
+++ b/tests/common/network.py
@@ -13,6 +13,8 @@
     """
 
     def __init__(self) -> None:
+        self.freeze_before_order = False
+        self.freeze_after_intent = False
         self._cut_pairs: set[frozenset[str]] = set()
         self._awake_by_name: dict[str, trio.Event] = {}
         self._silenced: dict[frozenset[str], float] = {}
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -159,9 +159,23 @@
     def _do_freeze(self, nursery, name):
         self._cluster.network.freeze(name)
 
+    def _do_freeze_before_order(self, nursery):
+        self._cluster.network.freeze_before_order = True
+
+    def _do_freeze_after_intent(self, nursery):
+        self._cluster.network.freeze_after_intent = True
+
+    def _do_ignores_fencing(self, nursery, name):
+        engine = self._cluster.engine_by_name[name]
+        engine.profile = engine.profile._replace(checks_fencing=False)
+
     def _do_wake(self, nursery, name):
         self._cluster.network.wake(name)
 
+    def _do_wake_all(self, nursery):
+        for name in self._cluster.node_names:
+            self._cluster.network.wake(name)
+
     def _do_cut(self, nursery, one, other):
         self._cluster.network.cut(one, other)
 
@@ -244,6 +258,11 @@
         found = [self._cluster.statement_by_name.get(n) for n in (one, other)]
         assert sorted(map(str, found)) == ['accepted', 'conflict'], found
 
+    def _do_ordered(self, nursery, name, argument):
+        orders = self._cluster.engine_by_name[name].orders
+        found = [order['argument'] for order in orders]
+        assert found and found[-1] == argument, f'{name} was ordered {found}'
+
     def _do_same_revision(self, nursery):
         revisions = {
             name: node.configuration.revision
--- a/tests/quality/test_mutants.py
+++ b/tests/quality/test_mutants.py
@@ -15,6 +15,7 @@
 from foxtailrelay_node.internal.members import link_keeper
 from foxtailrelay_node.internal import node as nodes
 from foxtailrelay_node.internal import notice_watch
+from foxtailrelay_node.internal.placement import placement
 from foxtailrelay_node.internal.platform import engine_outcomes
 from foxtailrelay_node.internal.platform import http_outcomes
 from foxtailrelay_node.internal.streams import group_writer
@@ -22,6 +23,7 @@
 import pytest
 
 from common import fake_backends
+from common import fake_engines
 from common import scenario
 from common import virtual_time
 
@@ -120,6 +122,19 @@
     patch.setattr(nodes.Node, '_drain', _do_nothing)
 
 
+def _without_fencing_numbers(patch):
+    original = fake_engines.FakeEngines.order
+
+    async def order(self, address, fencing, action, argument):
+        return await original(self, address, 10**9, action, argument)
+
+    patch.setattr(fake_engines.FakeEngines, 'order', order)
+
+
+def _without_giving_up_late_orders(patch):
+    patch.setattr(placement.Placement, '_is_too_late', lambda *args: False)
+
+
 _MUTANTS = [
     (_without_read_before_act, 'cut-node'),
     (_without_dispatch_record, 'cut-node'),
@@ -132,6 +147,8 @@
     (_without_doubt_after_forwarding, 'forwarded-then-silent'),
     (_without_revision_check, 'operators-race'),
     (_without_passing_on_configuration, 'drained-backend'),
+    (_without_fencing_numbers, 'paused-leader'),
+    (_without_giving_up_late_orders, 'paused-leader-no-fencing'),
     (_without_end_mark, 'engine-dies'),
     (_without_reclaim_notices, 'leaving-backend'),
     (_without_drain, 'graceful-stop'),
