Split the ledger into files of one job each

Change: partition_set.py follows partitions, key_tasks.py counts the tasks of a key, call_runner.py sends claimed calls and records them, reconciler.py looks after open entries, ledger.py keeps what callers use. No behaviour changed.

--- a/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
@@ -158,7 +158,7 @@
         self, call: calls.LedgerCall, respond_async: bool
     ) -> http_answer.HttpAnswer:
         """Run a call here or at the preferred node of its key."""
-        preferred = self._ledger.preferred_node(call.key)
+        preferred = self._ledger.partitions.preferred_node(call.key)
         if preferred == self._node_id:
             return await self._run(call, respond_async)
         forwarded = await self._forward(preferred, call, respond_async)
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/call_runner.py
@@ -0,0 +1,143 @@
+"""Sends calls that this node has claimed, and records what became of them."""
+
+import typing
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import settings as settings_module
+import trio
+
+from foxtailrelay_node.internal.catalogue import catalogue as catalogues
+from foxtailrelay_node.internal.ledger import call as calls
+from foxtailrelay_node.internal.ledger import call_results
+from foxtailrelay_node.internal.ledger import entry as entries
+from foxtailrelay_node.internal.ledger import partition as partitions
+from foxtailrelay_node.internal.ledger import pending_result
+from foxtailrelay_node.internal.ledger import record as records
+from foxtailrelay_node.internal.ledger import sender as senders
+from foxtailrelay_node.internal.streams import write_outcomes
+
+_Kind = errors.ErrorKind
+_Record = records.RecordKind
+_RECORD_RETRY_S = 1.0
+
+
+class CallRunner:
+    """Runs claimed calls once and learns the answers of lost ones.
+
+    Parameters
+    ----------
+    catalogue : callable
+        Returns the configuration in force.
+    sender : Sender
+        Sends calls to backend servers.
+    timings : TimingSettings
+        How long the record of a finished call may wait.
+    """
+
+    def __init__(
+        self,
+        catalogue: typing.Callable[[], catalogues.Catalogue],
+        sender: senders.Sender,
+        timings: settings_module.TimingSettings,
+    ) -> None:
+        self._catalogue = catalogue
+        self._sender = sender
+        self._timings = timings
+
+    async def send(
+        self,
+        partition: partitions.Partition,
+        call: calls.LedgerCall,
+        attempt: int,
+        result: pending_result.PendingResult,
+    ) -> None:
+        """Send a claimed call once and record what became of it."""
+        service = self._catalogue().service_by_name.get(call.service)
+        if service is None:
+            outcome = senders.SendNotRun(
+                errors.Failure(_Kind.UNKNOWN_SERVICE, call.service)
+            )
+        else:
+            outcome = await self._sender.send(call, service)
+        if isinstance(outcome, senders.SendUnclear):
+            outcome = await self._resolve(call, service, outcome)
+        result.give(_to_result(outcome))
+        await self._record(partition, call, attempt, outcome)
+
+    async def ask(
+        self, partition: partitions.Partition, entry: entries.LedgerEntry
+    ) -> bool:
+        """Ask the backend servers for an answer and record it."""
+        service = self._catalogue().service_by_name.get(entry.service)
+        if service is None:
+            return False
+        caller_key = entry.key.split('/', 2)[2]
+        answer = await self._sender.ask(caller_key, entry.service, service)
+        if answer is None:
+            return False
+        await partition.write(
+            _Record.FINISHED,
+            entry.key,
+            entry.attempt,
+            answer=answer.to_stored(),
+        )
+        return True
+
+    async def _resolve(
+        self, call: calls.LedgerCall, service, unclear: senders.SendUnclear
+    ) -> senders.SendOutcome:
+        """Ask by key what became of a call without a whole answer."""
+        answer = await self._sender.ask(
+            call.idempotency_key, call.service, service
+        )
+        return unclear if answer is None else answer
+
+    async def _record(
+        self,
+        partition: partitions.Partition,
+        call: calls.LedgerCall,
+        attempt: int,
+        outcome: senders.SendOutcome,
+    ) -> None:
+        """Write the outcome, again and again until it stands in the log."""
+        while True:
+            match outcome:
+                case call_results.CallAnswered():
+                    written = await partition.write(
+                        _Record.FINISHED,
+                        call.key,
+                        attempt,
+                        may_wait_s=self._timings.finish_delay_s,
+                        answer=outcome.to_stored(),
+                    )
+                case senders.SendNotRun():
+                    kind = _Record.NOT_RUN
+                    entry = partition.entry(call.key)
+                    if entry is not None and entry.call is not None:
+                        kind = _Record.RELEASED
+                    written = await partition.write(
+                        kind, call.key, attempt, cause=outcome.failure.detail
+                    )
+                case senders.SendUnclear():
+                    written = await partition.write(
+                        _Record.UNKNOWN,
+                        call.key,
+                        attempt,
+                        cause=outcome.cause,
+                    )
+            if isinstance(written, write_outcomes.Written):
+                return
+            await trio.sleep(_RECORD_RETRY_S)
+
+
+def _to_result(outcome: senders.SendOutcome) -> call_results.CallResult:
+    """Translate what became of a call into its result."""
+    match outcome:
+        case senders.SendNotRun():
+            return call_results.CallFailed(outcome.failure)
+        case senders.SendUnclear():
+            return call_results.CallFailed(
+                errors.Failure(_Kind.OUTCOME_UNKNOWN, outcome.cause)
+            )
+        case _:
+            return outcome
--- a/packages/node/src/foxtailrelay_node/internal/node.py
+++ b/packages/node/src/foxtailrelay_node/internal/node.py
@@ -234,7 +234,10 @@
                 await self.configuration.write_snapshot_if_due()
 
     def _append_count(self) -> int:
-        return self.ledger.append_count + self.configuration.append_count
+        return (
+            self.ledger.partitions.append_count
+            + self.configuration.append_count
+        )
 
     def _catalogue(self):
         return self.configuration.catalogue
--- a/packages/node/src/foxtailrelay_node/internal/operators/tables.py
+++ b/packages/node/src/foxtailrelay_node/internal/operators/tables.py
@@ -114,7 +114,7 @@
 
     async def rows(self) -> list[Row]:
         """Return all rows."""
-        await self._ledger.follow_all(_ASK_TIMEOUT_S)
+        await self._ledger.partitions.follow_all(_ASK_TIMEOUT_S)
         return [
             {
                 'key': entry.key,
@@ -124,7 +124,7 @@
                 'holder': entry.holder,
                 'cause': entry.cause,
             }
-            for entry in self._ledger.open_entries()
+            for entry in self._ledger.partitions.open_entries()
         ]
 
 
@@ -197,7 +197,7 @@
     def _row(self, service: str) -> Row:
         states = [
             entry.state.value
-            for entry in self._ledger.open_entries()
+            for entry in self._ledger.partitions.open_entries()
             if entry.service == service
         ]
         engines = [
--- a/tests/common/oracle.py
+++ b/tests/common/oracle.py
@@ -47,7 +47,7 @@
     check(cluster)
     states = {}
     for node in cluster.node_by_name.values():
-        for partition in node.ledger._partition_by_number.values():
+        for partition in node.ledger.partitions.followed():
             for key, entry in partition.fold.entry_by_key.items():
                 states[key.rpartition('/')[2]] = entry
     ran = {run.key for run in cluster.runs}
--- a/tests/quality/test_mutants.py
+++ b/tests/quality/test_mutants.py
@@ -8,8 +8,8 @@
 from foxtailrelay_node.internal.callers import http_answer
 from foxtailrelay_node.internal.callers import model_dispatcher
 from foxtailrelay_node.internal.catalogue import catalogue_fold
-from foxtailrelay_node.internal.ledger import ledger
 from foxtailrelay_node.internal.ledger import partition
+from foxtailrelay_node.internal.ledger import reconciler
 from foxtailrelay_node.internal.ledger import record
 from foxtailrelay_node.internal.ledger import sender
 from foxtailrelay_node.internal.members import link_keeper
@@ -53,15 +53,15 @@
 
 
 def _without_release(patch):
-    patch.setattr(ledger.Ledger, '_release', _do_nothing)
+    patch.setattr(reconciler.Reconciler, '_release', _do_nothing)
 
 
 def _without_take_over(patch):
-    patch.setattr(ledger.Ledger, '_take_over', _do_nothing)
+    patch.setattr(reconciler.Reconciler, '_take_over', _do_nothing)
 
 
 def _without_giving_up_claims(patch):
-    patch.setattr(ledger.Ledger, '_settle_abandoned', _do_nothing)
+    patch.setattr(reconciler.Reconciler, '_settle_abandoned', _do_nothing)
 
 
 def _without_settling_lost_appends(patch):
