End the process when its last connections are closed

Cause: the server waited a fixed second after the node had left and then cancelled everything, which read badly and cut slow closings short.

Change: the HTTP server says when it has closed; the process ends then.

--- a/packages/node/src/foxtailrelay_node/internal/server.py
+++ b/packages/node/src/foxtailrelay_node/internal/server.py
@@ -12,6 +12,7 @@
 
 _LOG = logbook.Logger('foxtailrelay.server')
 _KEEP_ALIVE_S = 5.0
+_GRACE_S = 1.0
 
 
 async def serve(settings: settings_module.NodeSettings) -> int:
@@ -27,6 +28,7 @@
         settings.node.peer_port, host=settings.node.host
     )
     status = _ExitStatus()
+    http_closed = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(_watch_signals, node, nursery, status)
         await nursery.start(
@@ -34,13 +36,10 @@
             node.peer_server.serve_connection,
             listeners,
         )
-        nursery.start_soon(
-            _serve_http, node.build_app(), settings, node.left.wait
-        )
+        nursery.start_soon(_serve_http, node, http_closed)
         await node.run()
-        await trio.sleep(0)
-        nursery.cancel_scope.deadline = trio.current_time() + _KEEP_ALIVE_S
-        await _serve_until_closed(nursery)
+        await http_closed.wait()
+        nursery.cancel_scope.cancel()
     return status.value
 
 
@@ -51,16 +50,23 @@
         self.value = 0
 
 
-async def _serve_http(app, settings, left) -> None:
-    """Serve callers until the node has left."""
+async def _serve_http(node: nodes.Node, closed: trio.Event) -> None:
+    """Serve callers until the node has left and connections are closed."""
+    settings = node.settings
     config = hypercorn_config.Config()
     config.bind = [f'{settings.node.host}:{settings.node.caller_port}']
     config.loglevel = 'WARNING'
     config.include_server_header = False
     config.h11_max_incomplete_size = settings.limits.header_bytes
     config.keep_alive_timeout = _KEEP_ALIVE_S
-    config.graceful_timeout = 1.0
-    await hypercorn_trio.serve(app, config, shutdown_trigger=left, mode='asgi')
+    config.graceful_timeout = _GRACE_S
+    await hypercorn_trio.serve(
+        node.build_app(),
+        config,
+        shutdown_trigger=node.left.wait,
+        mode='asgi',
+    )
+    closed.set()
 
 
 async def _watch_signals(
@@ -83,9 +89,3 @@
                 status.value = 1
                 nursery.cancel_scope.cancel()
                 return
-
-
-async def _serve_until_closed(nursery: trio.Nursery) -> None:
-    """Give the HTTP server time to close its connections."""
-    await trio.sleep(1.0)
-    nursery.cancel_scope.cancel()
