Keep queues short under overload, and share what is left fairly

Change: while no engine is expected to be on time, an organisation above an equal share of what was admitted lately is refused at once with Retry-After, and above twice the target everybody is. Batch requests wait for slack, until 60 s before their deadline.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: demo test lint format fuzz lock clean bench-path bench-policy bench-capacity
+.PHONY: demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -46,3 +46,6 @@
 
 bench-policy: $(INSTALLED)
 	$(PYTHON) bench/policy_bench.py
+
+bench-overload: $(INSTALLED)
+	$(PYTHON) bench/overload_bench.py
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -31,9 +31,13 @@
 import in_process_engines
 import policy_workload
 
+DEPLOYMENT_BY_NAME = {
+    'mwangi': policy_workload.MWANGI,
+    'klippvik': policy_workload.KLIPPVIK,
+}
 _NODES = 4
 _WORKERS = int(os.environ.get('POLICY_WORKERS', str(os.cpu_count())))
-_SECONDS = float(os.environ.get('POLICY_SECONDS', '90'))
+SECONDS = float(os.environ.get('POLICY_SECONDS', '90'))
 _SEEDS = (1, 2, 3)
 _POLL_INTERVAL_S = settings.TimingSettings().engine_poll_interval_s
 _WARM_UP_S = 10.0
@@ -106,7 +110,7 @@
         self._policy_name = policy_name
         self._wave = wave
         self._arrivals = policy_workload.Workload(deployment, seed).arrivals(
-            _SECONDS
+            SECONDS
         )
         self._routing = settings.RoutingSettings(
             recomputed_token_cost=deployment.recomputed_token_cost
@@ -182,7 +186,7 @@
         backends = self._deployment.backend_by_name
         zone = next(iter(backends.values())).zone
         names = [n for n, backend in backends.items() if backend.zone == zone]
-        await trio.sleep(_SECONDS / 3)
+        await trio.sleep(SECONDS / 3)
         self._leaving.update(backends[name].vm for name in names)
         await trio.sleep(_NOTICE_S)
         engines.down.update(names)
@@ -264,20 +268,19 @@
     return statistics.quantiles(values, n=100)[percent - 1]
 
 
-def run_one(case) -> Score:
-    """Run one case in this process, the same way every time."""
-    deployment_name, policy_name, seed, wave = case
-    deployment = {
-        'mwangi': policy_workload.MWANGI,
-        'klippvik': policy_workload.KLIPPVIK,
-    }[deployment_name]
+def run_virtually(run: PolicyRun, seed: int) -> Score:
+    """Run in virtual time, the same way every time."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     with logbook.NullHandler().applicationbound():
-        return trio.run(
-            PolicyRun(deployment, policy_name, seed, wave).run,
-            clock=testing.MockClock(autojump_threshold=0),
-        )
+        return trio.run(run.run, clock=testing.MockClock(autojump_threshold=0))
+
+
+def run_one(case) -> Score:
+    """Run one case in this process."""
+    name, policy_name, seed, wave = case
+    deployment = DEPLOYMENT_BY_NAME[name]
+    return run_virtually(PolicyRun(deployment, policy_name, seed, wave), seed)
 
 
 def main() -> None:
@@ -289,7 +292,7 @@
     )
     with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
         score_by_case = dict(zip(cases, pool.map(run_one, cases), strict=True))
-    print(f'{_SECONDS:g} s of requests, seeds {_SEEDS}; mean (lowest-highest)')
+    print(f'{SECONDS:g} s of requests, seeds {_SEEDS}; mean (lowest-highest)')
     for deployment, wave in itertools.product(
         ('mwangi', 'klippvik'), (False, True)
     ):
--- a/bench/policy_workload.py
+++ b/bench/policy_workload.py
@@ -48,12 +48,19 @@
     is_batch: bool
 
 
-_ORGANISATION_SHARES = {
+ORGANISATION_SHARES = {
     'large-1': 0.40, 'large-2': 0.30, 'small-1': 0.14, 'small-2': 0.10,
     'small-3': 0.06,
 }  # fmt: skip
 
 
+# One organisation sends most of an overload.
+OVERLOAD_SHARES = {
+    'large-1': 0.80, 'large-2': 0.08, 'small-1': 0.05, 'small-2': 0.04,
+    'small-3': 0.03,
+}  # fmt: skip
+
+
 def _deployment(name, engines, latency_s, rate, recomputed, answer_tokens):
     backends, profiles = {}, {}
     for index, (zone, price, speed, slots, interval_s) in enumerate(engines):
@@ -120,14 +127,20 @@
         Rate and lengths.
     seed : int
         The same seed gives the same arrivals.
+    shares : dict of str to float
+        Share of each organisation in the requests.
     """
 
-    def __init__(self, deployment: Deployment, seed: int) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        shares: dict[str, float] = ORGANISATION_SHARES,
+    ) -> None:
         self._deployment = deployment
+        self._shares = shares
         self._random = random.Random(seed)
-        self._sessions: dict[str, list[str]] = {
-            name: [] for name in _ORGANISATION_SHARES
-        }
+        self._sessions: dict[str, list[str]] = {name: [] for name in shares}
 
     def arrivals(self, seconds: float) -> list[Arrival]:
         """Return all requests of a run, in order of time."""
@@ -140,8 +153,8 @@
             arrivals.append(self._arrival(time_s))
 
     def _arrival(self, time_s: float) -> Arrival:
-        names = list(_ORGANISATION_SHARES)
-        shares = list(_ORGANISATION_SHARES.values())
+        names = list(self._shares)
+        shares = list(self._shares.values())
         (name,) = self._random.choices(names, shares)
         is_batch = self._random.random() < 0.1
         mean = self._deployment.answer_tokens * (4 if is_batch else 1)
--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -19,6 +19,7 @@
 from foxtailrelay_node.internal.routing import engine_state
 from foxtailrelay_node.internal.routing import engine_watch
 from foxtailrelay_node.internal.routing import model_router
+from foxtailrelay_node.internal.routing import overload_guard
 from foxtailrelay_node.internal.routing import retry_budget
 
 _LOG = logbook.Logger('foxtailrelay.callers')
@@ -28,6 +29,7 @@
 _CANCEL_TIMEOUT_S = 1.0
 _MOST_TRIES = 6
 _RESUME_PAUSE_S = 0.25
+_BATCH_PAUSE_S = 0.5
 
 
 class ModelJob(typing.NamedTuple):
@@ -115,6 +117,7 @@
         self._router = router
         self._metrics = metrics
         self._settings = settings
+        self._guard = overload_guard.OverloadGuard(settings)
         self._budget = retry_budget.RetryBudget(settings.retry_budget_ratio)
 
     async def serve(
@@ -155,6 +158,9 @@
                 job.deadline_s - trio.current_time(),
             )
             choice = self._choose(progress, demand, frozenset(excluded))
+            if choice is overload_guard.Admission.WAIT:
+                await trio.sleep(_BATCH_PAUSE_S)
+                continue
             if isinstance(choice, errors.Failure):
                 if not progress.may_wait:
                     return choice
@@ -189,8 +195,11 @@
         progress: _Progress,
         demand: decisions.ModelDemand,
         excluded: frozenset[str],
-    ) -> decisions.Estimate | errors.Failure:
-        """Choose the engine that has the stream, or the router's choice."""
+    ) -> decisions.Estimate | errors.Failure | overload_guard.Admission:
+        """Choose the engine that has the stream, or the router's choice.
+
+        A request that no engine has got yet may be refused or told to wait.
+        """
         name = progress.last_engine
         engine = self._watch.engine(name) if name else None
         if engine is not None and name not in excluded:
@@ -215,7 +224,14 @@
             demand, progress.job.organisation, excluded
         )
         if isinstance(decision, decisions.Decision):
-            return decision.estimate
+            if progress.was_sent or not progress.has_own_start:
+                return decision.estimate
+            admission = self._guard.admit(
+                progress.job.organisation, demand, decision
+            )
+            if admission is overload_guard.Admission.GO:
+                return decision.estimate
+            return admission
         kind = _Kind.OVERLOADED
         if not self._watch.engines_of(demand.service):
             kind = _Kind.NO_BACKEND
--- a/packages/node/src/foxtailrelay_node/internal/routing/cost_policy.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/cost_policy.py
@@ -56,7 +56,9 @@
         if demand.is_batch:
             return self._choose_for_batch(estimates)
         if not on_time:
-            return decision.Decision(soonest, 'soonest', estimates)
+            return decision.Decision(
+                soonest, 'soonest', estimates, is_on_time=False
+            )
         chosen = min(
             on_time,
             key=lambda e: (e.cost, -_home_weight(demand, e.engine.name)),
--- a/packages/node/src/foxtailrelay_node/internal/routing/decision.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/decision.py
@@ -67,11 +67,14 @@
         The rule that chose it.
     candidates : tuple of Estimate
         All that were compared.
+    is_on_time : bool
+        Whether the first token is expected within the target.
     """
 
     estimate: Estimate
     why: str
     candidates: tuple[Estimate, ...]
+    is_on_time: bool = True
 
 
 class NoDecision(typing.NamedTuple):
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/routing/fair_share.py
@@ -0,0 +1,43 @@
+"""What each organisation has used lately, against an equal share."""
+
+import trio
+
+_HALF_LIFE_S = 5.0
+_SMALLEST_PART = 0.01
+
+
+class FairShare:
+    """Decaying counts of tokens by organisation, on this node."""
+
+    def __init__(self) -> None:
+        self._tokens_by_organisation: dict[str, float] = {}
+        self._decayed_at_s = 0.0
+
+    def note(self, organisation: str, tokens: int) -> None:
+        """Count an admitted request's prompt and answer tokens."""
+        self._decay()
+        used = self._tokens_by_organisation.get(organisation, 0.0)
+        self._tokens_by_organisation[organisation] = used + tokens
+
+    def is_over(self, organisation: str) -> bool:
+        """Tell whether an organisation has used more than an equal share.
+
+        Only organisations that use the node at all take part in the
+        division.
+        """
+        self._decay()
+        total = sum(self._tokens_by_organisation.values())
+        active = [
+            used
+            for used in self._tokens_by_organisation.values()
+            if used >= total * _SMALLEST_PART
+        ]
+        own = self._tokens_by_organisation.get(organisation, 0.0)
+        return own * max(1, len(active)) > total
+
+    def _decay(self) -> None:
+        now = trio.current_time()
+        factor = 0.5 ** ((now - self._decayed_at_s) / _HALF_LIFE_S)
+        self._decayed_at_s = now
+        for organisation in self._tokens_by_organisation:
+            self._tokens_by_organisation[organisation] *= factor
