--- a/packages/node/src/foxtailrelay_node/internal/routing/decision.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/decision.py
@@ -55,6 +55,12 @@
     computed_tokens: float
     cost: float
 
+    @property
+    def wait_s(self) -> float:
+        """Expected time until the engine begins with the prompt."""
+        compute_s = self.computed_tokens / self.engine.prefill_tokens_per_s
+        return self.first_token_s - compute_s
+
 
 class Decision(typing.NamedTuple):
     """The chosen engine.
--- a/packages/node/src/foxtailrelay_node/internal/routing/overload_guard.py
+++ b/packages/node/src/foxtailrelay_node/internal/routing/overload_guard.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import statistics
 
 from foxtailrelay_core import errors
 from foxtailrelay_core import settings as settings_module
@@ -11,6 +12,7 @@
 
 _NOBODY_FACTOR = 2.0
 _BATCH_MUST_START_S = 60.0
+_BATCH_PART = 4
 
 
 class Admission(enum.Enum):
@@ -72,12 +74,10 @@
     def _admit_batch(
         self, demand: decisions.ModelDemand, decision: decisions.Decision
     ) -> Admission:
-        """Let batch work go where nothing much waits before it."""
+        """Let batch work go while half of the engines have little waiting."""
         if demand.first_token_within_s <= _BATCH_MUST_START_S:
             return Admission.GO
-        estimate = decision.estimate
-        speed = estimate.engine.prefill_tokens_per_s
-        wait_s = estimate.first_token_s - estimate.computed_tokens / speed
-        if wait_s <= self._target_s / 2:
+        waits_s = [estimate.wait_s for estimate in decision.candidates]
+        if statistics.median(waits_s) <= self._target_s / _BATCH_PART:
             return Admission.GO
         return Admission.WAIT
