Say once what execute and accept share; drop a needless read

Cause: read once more as a newcomer. execute() and accept() spelt out the same answer for a ledger that cannot be read, and accept() read the entry again after _settled(), which only waits for an unknown entry and then always has a result. Two retention tests restarted all nodes by the same lines.

Change: _unreadable(), one read less, _restart_all(). No check changed.

--- a/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
+++ b/packages/node/src/foxtailrelay_node/internal/ledger/ledger.py
@@ -93,9 +93,7 @@
         """Run a call at most once and wait for its answer."""
         partition = await self._ready_partition(call)
         if partition is None:
-            return _failed(
-                _Kind.LOG_UNAVAILABLE, 'the ledger cannot be read just now'
-            )
+            return _unreadable()
         while True:
             entry = partition.entry(call.key)
             if entry is not None:
@@ -114,16 +112,13 @@
         """Accept a call to be run later; it then survives this node."""
         partition = await self._ready_partition(call)
         if partition is None:
-            return _failed(
-                _Kind.LOG_UNAVAILABLE, 'the ledger cannot be read just now'
-            )
+            return _unreadable()
         while True:
             entry = partition.entry(call.key)
             if entry is not None:
                 settled = await self._settled(partition, entry, call)
                 if settled is not None:
                     return settled
-                entry = partition.entry(call.key)
             if entry is None or entry.state is _State.NOT_RUN:
                 failure = await self._write_accepted(partition, entry, call)
                 if failure is not None:
@@ -291,6 +286,10 @@
     )
 
 
+def _unreadable() -> call_results.CallFailed:
+    return _failed(_Kind.LOG_UNAVAILABLE, 'the ledger cannot be read just now')
+
+
 def _still_running() -> call_results.CallFailed:
     return _failed(
         _Kind.OUTCOME_UNKNOWN,
--- a/tests/cover/test_retention.py
+++ b/tests/cover/test_retention.py
@@ -25,12 +25,7 @@
                 await cluster.call(f'c{number}', 'n1', f'k{number}')
             await trio.sleep(5)
             _expire_to_snapshots(cluster.log)
-            for name in cluster.node_names:
-                cluster.kill(name)
-            await trio.sleep(1)
-            for name in cluster.node_names:
-                await cluster.start_node(name)
-            await trio.sleep(2)
+            await _restart_all(cluster)
             for number in range(_KEY_COUNT):
                 await cluster.call(f'again{number}', 'n2', f'k{number}')
             assert len(cluster.runs) == _KEY_COUNT
@@ -42,6 +37,16 @@
     virtual_time.run(scenario)
 
 
+async def _restart_all(cluster):
+    """Kill every node, then start them all again."""
+    for name in cluster.node_names:
+        cluster.kill(name)
+    await trio.sleep(1)
+    for name in cluster.node_names:
+        await cluster.start_node(name)
+    await trio.sleep(2)
+
+
 def _expire_to_snapshots(log):
     """Drop what stands before the newest snapshot of each partition."""
     dropped = 0
@@ -81,12 +86,7 @@
             await cluster.call('c1', 'n1', 'k1')
             await trio.sleep(_QUIET_S)
             _expire_all_before_newest_snapshots(cluster.log)
-            for name in cluster.node_names:
-                cluster.kill(name)
-            await trio.sleep(1)
-            for name in cluster.node_names:
-                await cluster.start_node(name)
-            await trio.sleep(2)
+            await _restart_all(cluster)
             await cluster.call('c2', 'n2', 'k1')
             assert cluster.told_by_call['c2'].outcome == 'ran'
             assert len(cluster.runs) == 1
