Judge limits by the mean rate of peers where there are many

Cause: a peer was taken to have spent since its last report at its own last rate or at this node's, whichever was higher.

Change: with eight fresh reports or more the mean rate of all is taken. The pace of exchanges by the number of nodes moves into its own module; frames of 600 bytes or more are compressed.

Conclusion: the bound holds, what is below the limit passes.

--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -1,6 +1,7 @@
 """Length-prefixed messages over a byte stream."""
 
 import struct
+import zlib
 
 import trio
 
@@ -11,6 +12,11 @@
 _LENGTH = struct.Struct('>I')
 _READ_BYTES = 65536
 LONGEST_FRAME_BYTES = 8 << 20
+# Shorter messages are not worth the time to compress them, in bytes.
+_COMPRESSED_FROM_BYTES = 600
+_FASTEST = 1
+# The top bit of a frame's length tells that it is compressed.
+_COMPRESSED = 1 << 31
 
 
 class FrameError(Exception):
@@ -51,9 +57,10 @@
         data = message_codec.encode(message_id, message)
         if len(data) > LONGEST_FRAME_BYTES:
             raise FrameError(f'message of {len(data)} bytes is too long')
+        frame = to_frame(data)
         async with self._send_lock:
-            await self._stream.send_all(_LENGTH.pack(len(data)) + data)
-        self._traffic.sent_bytes += _LENGTH.size + len(data)
+            await self._stream.send_all(frame)
+        self._traffic.sent_bytes += len(frame)
 
     async def receive(self) -> tuple[int, message_types.Message]:
         """Receive one message.
@@ -64,9 +71,13 @@
             If the frame is too long, cut short or not a message.
         """
         (length,) = _LENGTH.unpack(await self._receive_exactly(_LENGTH.size))
+        is_compressed = bool(length & _COMPRESSED)
+        length &= ~_COMPRESSED
         if length > LONGEST_FRAME_BYTES:
             raise FrameError(f'frame of {length} bytes is too long')
         data = await self._receive_exactly(length)
+        if is_compressed:
+            data = _decompress(data)
         try:
             return message_codec.decode(data)
         except message_codec.DecodeError as error:
@@ -87,3 +98,23 @@
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
+
+
+def to_frame(data: bytes) -> bytes:
+    """Return an encoded message as it goes over a connection."""
+    if len(data) < _COMPRESSED_FROM_BYTES:
+        return _LENGTH.pack(len(data)) + data
+    compressed = zlib.compress(data, _FASTEST)
+    return _LENGTH.pack(len(compressed) | _COMPRESSED) + compressed
+
+
+def _decompress(data: bytes) -> bytes:
+    """Decompress a frame that must not grow beyond the longest one."""
+    inflater = zlib.decompressobj()
+    try:
+        content = inflater.decompress(data, LONGEST_FRAME_BYTES)
+    except zlib.error as error:
+        raise FrameError(f'frame cannot be decompressed: {error}') from error
+    if not inflater.eof:
+        raise FrameError('compressed frame is cut short or too long')
+    return content
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/hash_order.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/hash_order.py
@@ -1,5 +1,7 @@
 """Orders that all nodes find without talking to each other."""
 
+import typing
+
 import xxhash
 
 
@@ -11,3 +13,9 @@
 def point(name: str) -> float:
     """Return a point from 0 up to 1 that a name falls on."""
     return xxhash.xxh64_intdigest(name.encode()) / 2**64
+
+
+def rank(subject: str, own: str, others: typing.Iterable[str]) -> int:
+    """Return how many of ``others`` go before ``own`` for a subject."""
+    own_weight = weight(subject, own)
+    return sum(weight(subject, other) > own_weight for other in others)
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
@@ -16,6 +16,10 @@
 _TOLERANCE_PART = 0.25
 # Slots from which the present rate of a node is taken.
 _RATE_SLOTS = 2
+# Where this many peers tell what they spend, one node's rate says little, and
+# the mean of those that were heard of within this time is taken, in seconds.
+_MANY_PEERS = 8
+_FRESH_S = 1.5
 # Parts of the window in which the limit holds as well, so that what is
 # allowed does not come all at once when an old burst leaves the window.
 _WINDOW_PARTS = (1.0, 0.5, 0.25)
@@ -66,10 +70,10 @@
     """Decides by what this node spent and what its peers reported.
 
     A peer is taken to have gone on since its last report at its last rate, or
-    at this node's own where that is higher.  While peers are silent, each
-    side of a cut may spend only its share of the limit.  For one window after
-    the start, when nobody may remember what was spent before, the limit grows
-    with time.
+    at this node's own where that is higher; where there are many peers, at
+    the mean rate of all.  While peers are silent, each side of a cut may
+    spend only its share of the limit.  For one window after the start, when
+    nobody may remember what was spent before, the limit grows with time.
 
     Parameters
     ----------
@@ -174,9 +178,15 @@
     def _spendings(self, name: str, now_s: float) -> list[_Spending]:
         """Return what each node spent, this one first."""
         own = _Spending(self._own(name).slots(now_s), now_s)
+        peers = self._peers_by_name.get(name, {}).values()
+        fresh = [peer for peer in peers if now_s - peer.at_s <= _FRESH_S]
+        if len(fresh) >= _MANY_PEERS:
+            rates = [_rate(own.slots), *(_rate(p.slots) for p in fresh)]
+            mean = sum(rates) / len(rates)
+            return [own, *(p._replace(rate_per_s=mean) for p in peers)]
         own_rate = _rate(own.slots)
         spendings = [own]
-        for peer in self._peers_by_name.get(name, {}).values():
+        for peer in peers:
             rate = max(own_rate, _rate(peer.slots))
             spendings.append(peer._replace(rate_per_s=rate))
         return spendings
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/address_book.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/address_book.py
@@ -3,11 +3,7 @@
 import typing
 
 from foxtailrelay_node.internal.relay.decide import hash_order
-
-# Up to this many nodes all exchange with each other; beyond it each node has
-# a bounded number of neighbours.
-FULL_MESH_NODES = 12
-NEIGHBOURS = 6
+from foxtailrelay_node.internal.relay.peers import pace
 
 
 class PeerAddress(typing.NamedTuple):
@@ -51,7 +47,12 @@
     @property
     def is_full_mesh(self) -> bool:
         """Whether all nodes exchange with each other."""
-        return len(self._reported) < FULL_MESH_NODES
+        return pace.is_full_mesh(len(self._reported))
+
+    @property
+    def interval_s(self) -> float:
+        """Interval of exchanges with each neighbour, in seconds."""
+        return pace.interval_s(len(self._reported))
 
     def neighbours(self) -> set[PeerAddress]:
         """Return whom to exchange news with.
@@ -60,7 +61,8 @@
         are tried while too few of those are known.
         """
         if not self.is_full_mesh:
-            return set(sorted(self._reported, key=self._distance)[:NEIGHBOURS])
+            nearest = sorted(self._reported, key=self._distance)
+            return set(nearest[: pace.NEIGHBOURS])
         # One connection for each pair of nodes: the lower address dials.
         lower = {a for a in self._reported if self._own < a}
         return lower | (self._seeds | self._registered) - self._reported
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -5,9 +5,8 @@
 from foxtailrelay_core import messages
 
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.peers import pace
 
-# A node is taken to be up while its report is younger than this, in seconds.
-FRESH_S = 2.0
 # A node counts as a member for this long after its last report, in seconds;
 # longer than any window that its counts are needed for.
 KNOWN_S = 20.0
@@ -84,10 +83,11 @@
 
     def up(self) -> list[PeerReport]:
         """Return the reports of nodes that are up and stay."""
-        oldest_s = self._clock.boot_s() - FRESH_S
+        reports = self.all()
+        oldest_s = self._clock.boot_s() - pace.fresh_s(len(reports))
         return [
             report
-            for report in self.all()
+            for report in reports
             if report.made_at_s >= oldest_s and not report.report.is_leaving
         ]
 
--- a/tests/cover/relay/test_quota.py
+++ b/tests/cover/relay/test_quota.py
@@ -18,11 +18,17 @@
 
 
 class _Cluster:
-    """Nodes that tell each other what they spent, every half second."""
+    """Nodes that tell each other what they spent, every so often."""
 
-    def __init__(self, node_count, started_s=-100.0, seed=1):
+    def __init__(
+        self, node_count, exchange_s=_EXCHANGE_S, most_late=0, seed=1
+    ):
         self.random = random.Random(seed)
-        self.started_s = started_s
+        self.exchange_s = exchange_s
+        self.most_late = most_late
+        self.told = []
+        self.holder = _HOLDER
+        self.started_s = -100.0
         self.quotas = [self._new() for _ in range(node_count)]
         self.cut = set()
         self.now_s = 0.0
@@ -47,24 +53,27 @@
                 units = self.random.randint(1, largest)
                 self.asked += units
                 node = self.random.choice(self.quotas)
-                taken = node.take(_HOLDER, units, self.now_s)
+                taken = node.take(self.holder, units, self.now_s)
                 if isinstance(taken, quotas.Allowed):
                     self.allowed.append((self.now_s, units))
-            if step % round(_EXCHANGE_S / _STEP_S) == 0:
+            if step % round(self.exchange_s / _STEP_S) == 0:
                 self.exchange()
 
     def exchange(self):
+        """Tell all others; up to ``most_late`` intervals late."""
+        spends = [node.spends(self.now_s) for node in self.quotas]
+        self.told.append((self.now_s, spends))
+        self.told = self.told[-1 - self.most_late :]
         for index, node in enumerate(self.quotas):
             reached = [
-                (other, peer)
+                other
                 for other, peer in enumerate(self.quotas)
                 if peer is not node
                 and (index in self.cut) == (other in self.cut)
             ]
-            for other, peer in reached:
-                node.take_peer_spends(
-                    str(other), peer.spends(self.now_s), self.now_s
-                )
+            for other in reached:
+                at_s, spends = self.random.choice(self.told)
+                node.take_peer_spends(str(other), spends[other], at_s)
             share = (len(reached) + 1) / len(self.quotas)
             node.set_share(share, has_history=False)
 
@@ -100,6 +109,36 @@
     assert sum(units for _, units in cluster.allowed) == cluster.asked
 
 
+def _large_cluster(node_count=66):
+    """Nodes whose reports are up to two seconds old when they come."""
+    return _Cluster(node_count, exchange_s=1.0, most_late=2)
+
+
+def test_a_large_cluster_keeps_the_limit_and_uses_it():
+    cluster = _large_cluster()
+    cluster.run(seconds=25, requests_per_s=20)
+    assert cluster.largest_window() <= _BOUND
+    passed = sum(u for at_s, u in cluster.allowed if at_s > 5)
+    assert passed >= 0.8 * _RATE * 20
+
+
+def test_a_burst_at_all_nodes_of_a_large_cluster_is_held_to_the_limit():
+    cluster = _large_cluster()
+    cluster.run(seconds=10, requests_per_s=1.5)
+    cluster.run(seconds=10, requests_per_s=15)
+    assert cluster.largest_window() <= _BOUND
+
+
+def test_a_large_cluster_refuses_next_to_nothing_well_below_the_limit():
+    """An organisation that uses 0.6 of its limit, in clumps of requests."""
+    for node_count in (17, 66):
+        cluster = _large_cluster(node_count)
+        cluster.holder = _HOLDER._replace(rate_per_s=31_000.0, burst=111_000.0)
+        cluster.run(seconds=40, requests_per_s=4.5)
+        passed = sum(units for _, units in cluster.allowed)
+        assert passed >= 0.99 * cluster.asked
+
+
 def test_both_sides_of_a_cut_together_keep_the_limit():
     cluster = _Cluster(9)
     cluster.run(seconds=10, requests_per_s=20)
