Pull reports in large clusters, and let a few nodes watch the store

Each change of the list of servers woke the long polls of all nodes.

Change: only answers pass on reports, to a peer that has just said what it has; exchanges with the neighbours are spread over the interval, which grows beyond 100 nodes. Six nodes poll and three prove early; the others take it from peers and read for themselves when it does not come.

--- a/packages/core/src/foxtailrelay_core/internal/message_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -21,8 +21,13 @@
     'forwardCall': message_types.ForwardCall,
     'forwardAnswer': message_types.ForwardAnswer,
     'exchange': message_types.Exchange,
+    'placeCall': message_types.PlaceCall,
+    'placeAnswer': message_types.PlaceAnswer,
+    'placeNote': message_types.PlaceNote,
 }
-_NUMBER_FIELDS = frozenset(('have_starts', 'have_sequences'))
+_LIST_FIELDS = frozenset(
+    ('have_starts', 'have_sequences', 'part_ids', 'part_tokens', 'excluded')
+)
 _FIELD_BY_TYPE = {kind: name for name, kind in _TYPE_BY_FIELD.items()}
 _ITEM_TYPE_BY_FIELD: dict[tuple[typing.Any, str], typing.Any] = {
     (message_types.Heartbeat, 'members'): message_types.MemberDigest,
@@ -106,9 +111,11 @@
             value = tuple(_from_fields(item_kind, item) for item in value)
         if name == 'lease':
             value = _from_fields(message_types.LeaseMark, value)
-        if name in _NUMBER_FIELDS:
+        if name in _LIST_FIELDS:
             value = tuple(value)
         if name == 'state':
             value = message_types.MemberState(value)
+        if name == 'event':
+            value = message_types.PlaceEvent(value)
         values[name] = value
     return kind(**values)
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -15,6 +15,10 @@
     forwardCall @8 :ForwardCall;
     forwardAnswer @9 :ForwardAnswer;
     exchange @10 :Exchange;
+    placeCall @11 :PlaceCall;
+    placeAnswer @12 :PlaceAnswer;
+    # Has no answer.
+    placeNote @13 :PlaceNote;
   }
 }
 
@@ -142,6 +146,7 @@
   tryNumbers @10 :List(UInt32);
   usageOrganisations @11 :List(Text);
   usageNumbers @12 :List(UInt64);
+  centicores @13 :UInt16;
 }
 
 struct TopicWant {
@@ -163,3 +168,38 @@
   value @2 :Data;
   isDropped @3 :Bool;
 }
+
+struct PlaceCall {
+  requestId @0 :Text;
+  service @1 :Text;
+  partIds @2 :List(Text);
+  partTokens @3 :List(UInt32);
+  answerTokens @4 :UInt32;
+  targetMs @5 :Int32;
+  leftMs @6 :UInt32;
+  urgency @7 :UInt8;
+  zone @8 :Text;
+  isRepeat @9 :Bool;
+  excluded @10 :List(Text);
+  booking @11 :UInt64;
+  promptTokens @12 :UInt32;
+}
+
+struct PlaceAnswer {
+  # Without a server the request is refused, or not judged at all.
+  server @0 :Text;
+  expectedUs @1 :UInt32;
+  uncachedTokens @2 :UInt32;
+  running @3 :UInt32;
+  pendingTokens @4 :UInt32;
+  speedPercent @5 :UInt16;
+  why @6 :Text;
+  retryAfterMs @7 :UInt32;
+  isJudged @8 :Bool;
+}
+
+struct PlaceNote {
+  booking @0 :UInt64;
+  event @1 :UInt8;
+  firstUs @2 :UInt32;
+}
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -31,6 +31,7 @@
         tryNumbers=_numbers(entry[1:] for entry in tries),
         usageOrganisations=[usage.organisation for usage in usages],
         usageNumbers=_numbers((u.window, u.count) for u in usages),
+        centicores=report.centicores,
     ).to_bytes_packed()
 
 
@@ -89,6 +90,7 @@
                 strict=True,
             )
         ),
+        content.centicores,
     )
 
 
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -31,6 +31,10 @@
 MemberState = message_types.MemberState
 Message = message_types.Message
 NodeReport = message_types.NodeReport
+PlaceAnswer = message_types.PlaceAnswer
+PlaceCall = message_types.PlaceCall
+PlaceEvent = message_types.PlaceEvent
+PlaceNote = message_types.PlaceNote
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
 ServerLoad = message_types.ServerLoad
@@ -68,6 +72,10 @@
     'MemberState',
     'Message',
     'NodeReport',
+    'PlaceAnswer',
+    'PlaceCall',
+    'PlaceEvent',
+    'PlaceNote',
     'Refusal',
     'ReportCopy',
     'ServerLoad',
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_links.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_links.py
@@ -1,5 +1,7 @@
 """The dialling end of connections between relaying nodes."""
 
+import random
+
 from foxtailrelay_core import messages
 import logbook
 import trio
@@ -12,10 +14,8 @@
 from foxtailrelay_node.internal.relay.peers import seen_reports
 
 _LOG = logbook.Logger('foxtailrelay.peers')
-# Intervals of exchanges with each neighbour, in seconds: where all nodes
-# exchange with each other, and where each passes on reports of many others.
-_FULL_MESH_INTERVAL_S = 0.5
-_PASSING_ON_INTERVAL_S = 1.0
+# Pauses between exchanges vary from this part of the interval up to it.
+_LEAST_INTERVAL_PART = 0.7
 # A neighbour that does not answer for this long is dialled anew, in seconds.
 _ANSWER_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 1.0
@@ -67,12 +67,7 @@
                     for peer in self._news.table.known()
                 )
                 self._match_tasks(nursery)
-                await trio.sleep(self._interval_s())
-
-    def _interval_s(self) -> float:
-        if self._addresses.is_full_mesh:
-            return _FULL_MESH_INTERVAL_S
-        return _PASSING_ON_INTERVAL_S
+                await trio.sleep(self._addresses.interval_s)
 
     def _match_tasks(self, nursery: trio.Nursery) -> None:
         """Start and stop tasks so that they match the neighbours."""
@@ -143,13 +138,15 @@
         try:
             while True:
                 asked_at_s = self._clock.boot_s()
-                answer = await link.request(
-                    self._news.exchange(seen, reply), _ANSWER_TIMEOUT_S
-                )
+                message = self._news.exchange(seen, reply, is_answer=False)
+                answer = await link.request(message, _ANSWER_TIMEOUT_S)
                 if not isinstance(answer, messages.Exchange):
                     return f'answered by {type(answer).__name__}'
                 reply = self._news.take(answer, seen, asked_at_s)
                 if not reply.is_urgent:
-                    await trio.sleep(self._interval_s())
+                    # Exchanges with all neighbours at the same moment would
+                    # hold up requests on a narrow link.
+                    part = random.uniform(_LEAST_INTERVAL_PART, 1.0)
+                    await trio.sleep(part * self._addresses.interval_s)
         except peer_link.LinkClosed as error:
             return str(error)
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -5,6 +5,7 @@
 import trio
 
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
 from foxtailrelay_node.internal.relay.peers import news as news_module
 from foxtailrelay_node.internal.relay.peers import seen_reports
 
@@ -22,6 +23,8 @@
         A connection without a request for this long is closed, in seconds.
     clock : Clock
         Dates what peers say.
+    dispatcher : Dispatcher
+        Places requests that peers ask about.
     """
 
     def __init__(
@@ -29,9 +32,11 @@
         news: news_module.News,
         silence_s: float,
         clock: clocks.Clock,
+        dispatcher: dispatchers.Dispatcher,
     ) -> None:
         self.traffic = messages.TrafficCount()
         self._news = news
+        self._dispatcher = dispatcher
         self._silence_s = silence_s
         self._clock = clock
 
@@ -48,14 +53,24 @@
                     message_id, message = await frames.receive()
                 if scope.cancelled_caught:
                     return
-                if not isinstance(message, messages.Exchange):
-                    reason = f'{type(message).__name__} is no request'
-                    await frames.send(message_id, messages.Refusal(reason))
-                    return
-                reply = self._news.take(message, seen, answered_at_s)
-                answered_at_s = self._clock.boot_s()
-                answer = self._news.exchange(seen, reply)
+                match message:
+                    case messages.Exchange():
+                        reply = self._news.take(message, seen, answered_at_s)
+                        answered_at_s = self._clock.boot_s()
+                        answer = self._news.exchange(
+                            seen, reply, is_answer=True
+                        )
+                    case messages.PlaceCall():
+                        answer = self._dispatcher.answer(message)
+                    case messages.PlaceNote():
+                        self._dispatcher.note(message)
+                        continue
+                    case _:
+                        reason = f'{type(message).__name__} is no request'
+                        answer = messages.Refusal(reason)
                 await frames.send(message_id, answer)
+                if isinstance(answer, messages.Refusal):
+                    return
         except (
             messages.FrameError,
             trio.BrokenResourceError,
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/news.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/news.py
@@ -12,7 +12,7 @@
 from foxtailrelay_node.internal.relay.decide import repeat_budget
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.duties import usage_book
-from foxtailrelay_node.internal.relay.peers import address_book
+from foxtailrelay_node.internal.relay.peers import pace
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import seen_reports
 from foxtailrelay_node.internal.relay.state import topic_follower
@@ -36,6 +36,8 @@
         Where it listens for peers.
     incarnation : int
         Start of the process, as Unix time in milliseconds.
+    centicores : int
+        What its processor carries, in hundredths of a core.
     """
 
     cluster: str
@@ -44,6 +46,7 @@
     host: str
     peer_port: int
     incarnation: int
+    centicores: int = 100
 
     @property
     def start_id(self) -> str:
@@ -135,6 +138,7 @@
             state.quota.spends(now_s),
             state.budget.tries(now_s, *self.demand()),
             state.usage.usages(),
+            self.identity.centicores,
         )
         self._sequence += 1
         self._made_at_s = now_s
@@ -142,16 +146,24 @@
         self._apply_membership()
 
     def exchange(
-        self, seen: seen_reports.SeenReports, reply: 'Reply'
+        self,
+        seen: seen_reports.SeenReports,
+        reply: 'Reply',
+        is_answer: bool,
     ) -> messages.Exchange:
         """Make an exchange for a peer.
 
+        In a large cluster only answers pass on reports of other nodes: the
+        peer has just told which ones it has, so that each comes once.
+
         Parameters
         ----------
         seen : SeenReports
             What the peer has; updated with what this exchange carries.
         reply : Reply
             What the last exchange of the peer calls for.
+        is_answer : bool
+            Whether the peer has asked for it.
         """
         now_s = self._clock.boot_s()
         own = messages.ReportCopy(
@@ -163,17 +175,12 @@
         )
         copies = [own]
         reports = self.table.all()
-        # Where all nodes exchange with each other, passing on is only for
-        # those that cannot reach each other.
-        is_full_mesh = len(reports) < address_book.FULL_MESH_NODES
-        interval_s = _PASS_ON_INTERVAL_S if is_full_mesh else 0.0
-        for peer in reports:
-            if seen.lacks(peer.copy, now_s, interval_s):
-                age_ms = _age_ms(now_s, peer.made_at_s)
-                copies.append(peer.copy._replace(age_ms=age_ms))
-        copies = copies[:_MOST_REPORTS]
+        is_full_mesh = pace.is_full_mesh(len(reports))
+        if is_full_mesh or is_answer:
+            copies += self._lacking(seen, reports, now_s)
         for copy in copies:
             seen.note_sent(copy, now_s)
+        told = reports if is_full_mesh or not is_answer else []
         return messages.Exchange(
             self.identity.cluster,
             int(self._state.time.now_s() * 1000),
@@ -182,10 +189,28 @@
             tuple(copies),
             reply.wants,
             reply.topics,
-            tuple(seen_reports.start_hash(peer.copy) for peer in reports),
-            tuple(peer.copy.sequence for peer in reports),
+            tuple(seen_reports.start_hash(peer.copy) for peer in told),
+            tuple(peer.copy.sequence for peer in told),
         )
 
+    @staticmethod
+    def _lacking(
+        seen: seen_reports.SeenReports,
+        reports: list[peer_table.PeerReport],
+        now_s: float,
+    ) -> list[messages.ReportCopy]:
+        """Return copies of the reports that a peer lacks."""
+        # Where all nodes exchange with each other, passing on is only for
+        # those that cannot reach each other.
+        is_full_mesh = pace.is_full_mesh(len(reports))
+        interval_s = _PASS_ON_INTERVAL_S if is_full_mesh else 0.0
+        lacking = [
+            peer.copy._replace(age_ms=_age_ms(now_s, peer.made_at_s))
+            for peer in reports
+            if seen.lacks(peer.copy, now_s, interval_s)
+        ]
+        return lacking[:_MOST_REPORTS]
+
     def take(
         self,
         exchange: messages.Exchange,
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -24,8 +24,14 @@
 _BETWEEN_CHANGES_S = 0.3
 # How often the age of the copy is looked at, in seconds.
 _CHECK_INTERVAL_S = 0.15
-# The copy is proved again after at least this part of the time allowed.
-_LEAST_PART = 0.5
+# Nodes of the first ranks prove the copy after these parts of the time
+# allowed, and peers pass that on; the others do so when it has not come.
+_PROVERS = 3
+_PROVER_PARTS = (0.4, 0.55)
+_OTHER_PARTS = (0.85, 1.0)
+# Nodes of the first ranks hear of changes at once; the others hear of them
+# from peers, well within the time in which a change must be in force.
+_WATCHERS = 6
 
 
 class TopicListener(abc.ABC):
@@ -43,7 +49,9 @@
 
     A long poll brings changes at once.  Short reads prove that nothing was
     missed; they are made only when neither the store nor a peer has proved
-    the copy lately, so that many nodes together need few of them.
+    the copy lately.  The nodes of the first ranks poll and prove for all, so
+    that many nodes together need few calls; a node that hears nothing from
+    them in time reads for itself.
 
     Parameters
     ----------
@@ -60,6 +68,11 @@
     proof_s : float
         The copy is proved again when it has been unproved for about this
         long, in seconds.
+
+    Attributes
+    ----------
+    rank : int
+        How many nodes that are up go before this one.
     """
 
     def __init__(
@@ -72,6 +85,7 @@
         proof_s: float,
     ) -> None:
         self.topic = topic
+        self.rank = 0
         self.view = keyed_view.KeyedView()
         self._source = source
         self._listener = listener
@@ -93,6 +107,9 @@
         # store is back.
         wait_s = 0.0
         while True:
+            if self.view.is_known and self.rank >= _WATCHERS:
+                await trio.sleep(_CHECK_INTERVAL_S)
+                continue
             end = self.view.end
             if await self._read(wait_s):
                 pause_s = _FIRST_PAUSE_S
@@ -107,21 +124,27 @@
 
     async def _prove(self) -> None:
         """Prove the copy when nobody has done so lately."""
-        limit_s = self._proof_s
+        part = random.random()
         while True:
             await trio.sleep(_CHECK_INTERVAL_S)
             if not self.view.is_known:
                 continue
-            if self.view.age_s(self._clock.boot_s()) < limit_s:
+            if self.view.age_s(self._clock.boot_s()) < self._limit_s(part):
                 continue
             # A long poll may hang on a silent connection; these reads tell
             # all the same that the store is back.
             if await self._read(0.0):
                 # Nodes that prove at different times prove for each other.
-                limit_s = self._proof_s * random.uniform(_LEAST_PART, 1.0)
+                part = random.random()
             else:
                 await trio.sleep(_LONGEST_PAUSE_S)
 
+    def _limit_s(self, part: float) -> float:
+        """Return the age at which this node proves the copy itself."""
+        parts = _PROVER_PARTS if self.rank < _PROVERS else _OTHER_PARTS
+        least, most = parts
+        return self._proof_s * (least + part * (most - least))
+
     async def _read(self, wait_s: float) -> bool:
         """Make one call; return whether it was answered."""
         asked_at_s = self._clock.boot_s()
--- a/tests/cover/relay/test_news.py
+++ b/tests/cover/relay/test_news.py
@@ -1,11 +1,16 @@
 """What nodes tell each other reaches whoever lacks it."""
 
+import random
+
+from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.backends import load_book
+from foxtailrelay_node.internal.relay.catalogue import organisation
 from foxtailrelay_node.internal.relay.decide import quota
 from foxtailrelay_node.internal.relay.decide import repeat_budget
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.duties import usage_book
+from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import news as news_module
 from foxtailrelay_node.internal.relay.peers import seen_reports
 from foxtailrelay_node.internal.relay.state import record_source
@@ -77,26 +82,38 @@
         self.reply = news_module.NO_REPLY
         self.answered_at_s = None
 
-    def exchange(self, travel_s=0.0):
+    def exchange(self, travel_s=0.0, renews=True):
         clock = self.dialler.clock
-        self.dialler.news.renew_report()
-        self.answerer.news.renew_report()
+        if renews:
+            self.dialler.news.renew_report()
+            self.answerer.news.renew_report()
         asked_at_s = clock.boot_s()
-        message = self.dialler.news.exchange(self.seen[0], self.reply)
+        message = self.dialler.news.exchange(
+            self.seen[0], self.reply, is_answer=False
+        )
         self.copies = len(message.reports) - 1
+        self.sent_bytes = _frame_bytes(message)
         clock.now_s += travel_s
         reply = self.answerer.news.take(
             _through_codec(message), self.seen[1], self.answered_at_s
         )
         self.answered_at_s = clock.boot_s()
-        answer = self.answerer.news.exchange(self.seen[1], reply)
+        answer = self.answerer.news.exchange(
+            self.seen[1], reply, is_answer=True
+        )
         self.copies += len(answer.reports) - 1
+        self.sent_bytes += _frame_bytes(answer)
         clock.now_s += travel_s
         self.reply = self.dialler.news.take(
             _through_codec(answer), self.seen[0], asked_at_s
         )
 
 
+def _frame_bytes(message):
+    """Return the length of a message on the wire."""
+    return len(frame_stream.to_frame(messages.encode(1, message)))
+
+
 def _through_codec(message):
     return messages.decode(messages.encode(1, message))[1]
 
@@ -194,22 +211,69 @@
     assert nodes[0].news.table.known() == []
 
 
+class _LargeCluster:
+    """Nodes that exchange with their neighbours, each link in its turn."""
+
+    _STEPS = 6
+
+    def __init__(self, count):
+        self.clock = boot_clock.HandClock()
+        self.nodes = [_Node(f'n{i}', self.clock, i) for i in range(count)]
+        node_by_host = {node.news.identity.host: node for node in self.nodes}
+        addresses = {
+            node: address_book.PeerAddress(node.news.identity.host, 80)
+            for node in self.nodes
+        }
+        rng = random.Random(1)
+        self.turns = [[] for _ in range(self._STEPS)]
+        for node in self.nodes:
+            book = address_book.AddressBook(addresses[node], ())
+            book.set_reported(addresses.values())
+            self.interval_s = book.interval_s
+            for peer in book.neighbours():
+                link = _Link(node, node_by_host[peer.host])
+                rng.choice(self.turns).append(link)
+        self.copies = self.sent_bytes = 0
+
+    def play(self, rounds):
+        """Let each link exchange once a round; count what is sent."""
+        for _ in range(rounds):
+            for step, turn in enumerate(self.turns):
+                self.clock.now_s += self.interval_s / self._STEPS
+                for node in self.nodes[step :: self._STEPS]:
+                    node.news.renew_report()
+                for link in turn:
+                    link.exchange(renews=False)
+                    self.copies += link.copies
+                    self.sent_bytes += link.sent_bytes
+
+
 def test_a_report_reaches_each_node_of_a_large_cluster_about_once():
-    """Play 30 nodes in a ring with chords, and count copies."""
-    clock = boot_clock.HandClock()
-    nodes = [_Node(f'n{i}', clock, i) for i in range(1, 31)]
-    links = [
-        _Link(nodes[i], nodes[(i + step) % 30])
-        for i in range(30)
-        for step in (1, 7)
-    ]
-    copies = 0
-    for turn in range(12):
-        clock.now_s += 1.5
-        for link in links:
-            link.exchange()
-        if turn >= 8:
-            copies += sum(link.copies for link in links)
-    assert all(len(node.news.table.up()) == 29 for node in nodes)
-    each = copies / 4 / len(nodes) / 29
-    assert each <= 2.5
+    cluster = _LargeCluster(40)
+    cluster.play(6)
+    cluster.copies = 0
+    cluster.play(3)
+    assert all(len(node.news.table.up()) == 39 for node in cluster.nodes)
+    assert cluster.copies / 3 / 40 / 39 <= 1.5
+
+
+def test_news_of_a_large_cluster_stay_within_a_nodes_share_of_its_link():
+    """The users' budget is 24 KB a second for all control of a node."""
+    cluster = _LargeCluster(66)
+    now_s = cluster.clock.now_s
+    for node in cluster.nodes:
+        for index in range(16):
+            holder = organisation.Organisation(
+                f'org{index:04}', None, True, 10, 0.0, 0.0
+            )._replace(rate_per_s=1e9)
+            for slot in range(6):
+                node.quota.take(
+                    holder, 1000 + 37 * slot * index, now_s - slot * 0.5
+                )
+            node.usage.note_begun(f'org{index:04}', cluster.clock.wall_s())
+    cluster.play(4)
+    cluster.sent_bytes = 0
+    cluster.play(2)
+    seconds = 2 * cluster.interval_s
+    each_per_s = cluster.sent_bytes / seconds / len(cluster.nodes)
+    assert each_per_s <= 24_000
