Let one node place the requests of all for a service

Cause: a prompt keeps an engine busy for a tenth of a second or more, and what nodes hear of each other is older.

Change: each service with model engines has a dispatcher, the same node for all by rendezvous hashing among the stronger VMs. It counts each request at its engine until it is told of its first event and its end. It refuses the less urgent at once when they would be late. Without an answer in 0.2 s a node decides by itself. Names no holder and agrees on nothing.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_parts.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_parts.py
@@ -10,6 +10,7 @@
 from foxtailrelay_node.internal.relay.decide import placing
 from foxtailrelay_node.internal.relay.decide import repeat_budget
 from foxtailrelay_node.internal.relay import demand_meter
+from foxtailrelay_node.internal.relay.dispatch import placements
 from foxtailrelay_node.internal.relay.duties import usage_book
 from foxtailrelay_node.internal.relay.http import backend_pool
 from foxtailrelay_node.internal.relay import node_state
@@ -31,7 +32,9 @@
     servers : ServerList
         Backend servers that may be used.
     loads : LoadBook
-        Their load.
+        Their load as far as this node knows.
+    placements : Placements
+        Chooses among them.
     pool : BackendPool
         Connections to them.
     budget : RepeatBudget
@@ -50,12 +53,11 @@
         Counts.
     clock : Clock
         Judges deadlines.
-    zone : str
-        This node's data centre.
     """
 
     servers: server_list.ServerList
     loads: load_book.LoadBook
+    placements: placements.Placements
     pool: backend_pool.BackendPool
     budget: repeat_budget.RepeatBudget
     usage: usage_book.UsageBook
@@ -65,7 +67,6 @@
     demand: demand_meter.DemandMeter
     metrics: relay_metrics.RelayMetrics
     clock: clocks.Clock
-    zone: str
 
     def now_s(self) -> float:
         """Return the time on the clock for ages."""
@@ -97,3 +98,4 @@
         )
         taken_s = max(_SHORTEST_ANSWER_S, now_s - sent_at_s)
         self.loads.note_speed(placed.view.server, placed.expected_s / taken_s)
+        placed.booking.note_begun(taken_s)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempts.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempts.py
@@ -1,6 +1,7 @@
 """Runs the tries of a request."""
 
 from foxtailrelay_core import errors
+from foxtailrelay_core import messages
 import logbook
 import trio
 
@@ -9,11 +10,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
-from foxtailrelay_node.internal.relay.backends import backend_server
-from foxtailrelay_node.internal.relay.decide import demand as demands
-from foxtailrelay_node.internal.relay.decide import model_placer
 from foxtailrelay_node.internal.relay.decide import placing
-from foxtailrelay_node.internal.relay.decide import plain_placer
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay import wire_format
@@ -23,6 +20,12 @@
 _CONNECT_TIMEOUT_S = 0.5
 # With less time than this left a request is not sent, in seconds.
 _LEAST_LEFT_S = 0.02
+_EVENT_BY_RESULT = {
+    results.Done: messages.PlaceEvent.DONE,
+    results.NotRun: messages.PlaceEvent.FAILED,
+    results.Broken: messages.PlaceEvent.FAILED,
+    results.ServerFailure: messages.PlaceEvent.LEFT,
+}
 
 
 class Attempts:
@@ -36,8 +39,6 @@
 
     def __init__(self, parts: attempt_parts.AttemptParts) -> None:
         self._parts = parts
-        self._model_placer = model_placer.ModelPlacer()
-        self._plain_placer = plain_placer.PlainPlacer()
 
     async def run(
         self,
@@ -64,15 +65,40 @@
     ) -> errors.Failure | None:
         unreachable: set[str] = set()
         while True:
-            placed = self._place(job, progress.tried | unreachable)
+            placed = await self._parts.placements.place(
+                job,
+                progress.tried | unreachable,
+                self._parts.urgency(job),
+                is_repeat=progress.sent_count > 0,
+            )
             if isinstance(placed, placing.NotPlaced):
                 return self._not_placed(job, progress, placed)
-            server = placed.view.server
+            result = await self._follow(job, placed, progress, connection)
+            if result is None:
+                unreachable.add(placed.view.server.id)
+            elif isinstance(result, errors.Failure):
+                return result
+            elif isinstance(result, results.Done):
+                return None
+            elif not self._may_repeat(job, progress, result):
+                return await self._give_up(job, progress, result, connection)
+
+    async def _follow(
+        self,
+        job: jobs.Job,
+        placed: placing.Placed,
+        progress: progresses.Progress,
+        connection: caller_connection.CallerConnection,
+    ) -> results.Result | errors.Failure | None:
+        """Connect to the chosen server and try; None if it is of no use."""
+        server = placed.view.server
+        event = messages.PlaceEvent.LEFT
+        try:
             backend = await self._connect(job, placed, progress)
             if backend is None:
-                unreachable.add(server.id)
+                event = messages.PlaceEvent.FAILED
                 self._parts.loads.note_failure(server)
-                continue
+                return None
             # What may have changed while connecting is judged once more.
             refusal = self._refuse_key(job)
             if refusal is not None:
@@ -80,76 +106,15 @@
                 return refusal
             if not self._parts.servers.is_usable(server):
                 await backend.aclose()
-                unreachable.add(server.id)
-                continue
+                return None
             result = await self._try(
                 job, placed, backend, progress, connection
             )
             self._note_result(job, placed, progress, result)
-            if isinstance(result, results.Done):
-                return None
-            if not self._may_repeat(job, progress, result):
-                return await self._give_up(job, progress, result, connection)
-
-    def _place(
-        self, job: jobs.Job, excluded: set[str]
-    ) -> placing.Placed | placing.NotPlaced:
-        """Choose a backend server."""
-        request = job.request
-        service = job.access.table.service_by_name.get(job.service)
-        model = service.model if service else None
-        memory_tokens = model.memory_tokens if model else 0
-        views = [
-            self._parts.loads.view(server, request.prompt_parts, memory_tokens)
-            for server in self._parts.servers.usable(job.service)
-            if server.id not in excluded
-        ]
-        now_s = self._parts.now_s()
-        route = job.access.route
-        shared = request.prompt_parts[:-1]
-        demand = demands.Demand(
-            request.request_id,
-            request.prompt_tokens or 0,
-            request.answer_tokens or 0,
-            shared[-1].id if shared else '',
-            sum(part.tokens for part in shared),
-            job.received_at_s + route.target_latency_s - now_s,
-            job.deadline_s - now_s,
-            self._parts.urgency(job),
-            self._parts.zone,
-        )
-        placer = self._model_placer if model else self._plain_placer
-        result = placer.place(demand, views)
-        self._log_placing(job, result, len(views))
-        return result
-
-    def _log_placing(
-        self,
-        job: jobs.Job,
-        result: placing.Placed | placing.NotPlaced,
-        candidate_count: int,
-    ) -> None:
-        fields = {
-            'request': job.request.request_id,
-            'service': job.service,
-            'candidates': candidate_count,
-            'version': job.access.table.version,
-            'version_age_s': round(self._parts.state.age_s(), 3),
-        }
-        if isinstance(result, placing.Placed):
-            fields |= {
-                'server': result.view.server.id,
-                'why': result.why,
-                'expected_s': round(result.expected_s, 4),
-                'running': result.view.running,
-                'pending_tokens': result.view.pending_tokens,
-                'uncached_tokens': result.uncached_tokens,
-                'speed': round(result.view.speed, 2),
-            }
-            _LOG.info('placed', extra=fields)
-        else:
-            fields |= {'why': result.why}
-            _LOG.info('not-placed', extra=fields)
+            event = _EVENT_BY_RESULT[type(result)]
+            return result
+        finally:
+            placed.booking.note_ended(event)
 
     def _not_placed(
         self,
@@ -254,7 +219,7 @@
             is_kept = exchange.is_whole
             return result
         except trio.Cancelled:
-            self._note_cancelled(job, server, exchange.has_answered)
+            self._note_cancelled(job, placed, exchange.has_answered)
             raise
         finally:
             exchange.note_begun()
@@ -296,14 +261,16 @@
     def _note_cancelled(
         self,
         job: jobs.Job,
-        server: backend_server.BackendServer,
+        placed: placing.Placed,
         has_answered: bool,
     ) -> None:
         """Note a try that ended with the caller's time or connection."""
+        server = placed.view.server
         now_s = self._parts.now_s()
         if not has_answered and now_s >= job.deadline_s:
             # It took a request and stayed silent for all of its time.
             self._parts.loads.note_failure(server)
+            placed.booking.note_ended(messages.PlaceEvent.FAILED)
         self._parts.metrics.attempts.labels(job.service, 'cancelled').inc()
         _LOG.info(
             'attempt-ended',
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/load_book.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/load_book.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import prefix_book
+from foxtailrelay_node.internal.relay.backends import recent_mean
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.decide import server_view
@@ -38,8 +39,8 @@
     """What is known of one start of a server."""
 
     def __init__(self, memory_tokens: int, now_s: float) -> None:
-        self.running = 0
-        self.pending_tokens = 0
+        self.running = recent_mean.RecentMean(now_s)
+        self.pending_tokens = recent_mean.RecentMean(now_s)
         self.speed = 1.0
         self.failures_in_row = 0
         self.avoid_until_s = -math.inf
@@ -81,13 +82,13 @@
             if now_s - peer.at_s < _PEER_LOAD_S:
                 peer_running += peer.load.running
                 peer_pending += peer.load.pending_tokens
-        running = book.running + peer_running
+        running = book.running.present + peer_running
         if book.told and now_s - book.told_at_s < _TOLD_LOAD_S:
             running = max(running, book.told.running + book.told.waiting)
         return server_view.ServerView(
             server,
             running,
-            book.pending_tokens + peer_pending,
+            book.pending_tokens.present + peer_pending,
             book.speed,
             book.prefixes.cached_tokens(parts),
             book.failure_share,
@@ -102,19 +103,21 @@
     ) -> None:
         """Note that a request is being sent."""
         book = self._book(server)
-        book.running += 1
-        book.pending_tokens += uncached_tokens
+        now_s = self._clock.boot_s()
+        book.running.add(1, now_s)
+        book.pending_tokens.add(uncached_tokens, now_s)
         book.prefixes.note_read(parts)
 
     def note_begun(
         self, server: backend_server.BackendServer, uncached_tokens: int
     ) -> None:
         """Note the first event, or the end without one."""
-        self._book(server).pending_tokens -= uncached_tokens
+        now_s = self._clock.boot_s()
+        self._book(server).pending_tokens.add(-uncached_tokens, now_s)
 
     def note_ended(self, server: backend_server.BackendServer) -> None:
         """Note that a request is no longer under way."""
-        self._book(server).running -= 1
+        self._book(server).running.add(-1, self._clock.boot_s())
 
     def note_speed(
         self, server: backend_server.BackendServer, ratio: float
@@ -153,15 +156,22 @@
         book.failure_share += _LEARNING_RATE * (1 - book.failure_share)
 
     def own_loads(self) -> tuple[messages.ServerLoad, ...]:
-        """Return what this node has under way, for its report."""
-        return tuple(
+        """Return what this node has had under way lately, for its report.
+
+        A prompt is read within a few tenths of a second, and a report is
+        older than that when it is used: a mean tells more than the moment.
+        """
+        now_s = self._clock.boot_s()
+        loads = (
             messages.ServerLoad(
                 key[0],
-                book.running,
-                max(0, book.pending_tokens),
+                round(book.running.take_mean(now_s)),
+                round(book.pending_tokens.take_mean(now_s)),
             )
             for key, book in self._book_by_key.items()
-            if book.running
+        )
+        return tuple(
+            load for load in loads if load.running or load.pending_tokens
         )
 
     def take_peer_loads(
@@ -182,7 +192,7 @@
         """Forget servers that have not been looked at for long."""
         oldest_s = self._clock.boot_s() - _FORGET_S
         for key, book in list(self._book_by_key.items()):
-            if book.last_use_s < oldest_s and not book.running:
+            if book.last_use_s < oldest_s and not book.running.present:
                 del self._book_by_key[key]
         for server_id, loads in list(self._peer_loads_by_server.items()):
             if not loads:
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -71,6 +71,20 @@
             if server.service == service and not server.is_draining
         ]
 
+    def find(self, server_id: str) -> backend_server.BackendServer | None:
+        """Return a server that takes new requests, by its id."""
+        self._drop_lapsed()
+        server = self._server_by_id.get(server_id)
+        return server if server and not server.is_draining else None
+
+    def lasting_ids(self, service: str) -> set[str]:
+        """Return the ids of a service's lasting servers, leaving or not."""
+        return {
+            server.id
+            for server in self._server_by_id.values()
+            if server.service == service and not server.is_reclaimable
+        }
+
     def is_usable(self, server: backend_server.BackendServer) -> bool:
         """Whether this start of a server takes new requests now."""
         self._drop_lapsed()
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/demand.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/demand.py
@@ -24,7 +24,9 @@
     urgency : int
         0 is the most urgent.
     zone : str
-        Data centre of the node that decides.
+        Data centre of the node that asks.
+    is_repeat : bool
+        Whether the request has been sent to a server before.
     """
 
     request_id: str
@@ -36,3 +38,4 @@
     left_s: float
     urgency: int
     zone: str
+    is_repeat: bool = False
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/model_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/model_placer.py
@@ -19,17 +19,45 @@
 # Time until a slot of a full engine is free, in seconds, for each request
 # ahead; an answer of some hundred tokens takes about this long.
 _SLOT_WAIT_S = 2.0
-# The home engine of a prompt is kept while it is expected within this share
-# of the aim.
-_HOME_TARGET_SHARE = 0.6
 # Cost of a server that has failed lately, in seconds.
 _FAILURE_COST_S = 1.0
 # Cost of each request that runs there already, in seconds: it slows all
 # streams of the engine.
 _CROWDING_S = 0.002
-# Share of a shared prompt that its home engine is expected to have read for
-# other nodes.
-_HOME_CACHED_SHARE = 0.5
+
+
+class Policy(typing.NamedTuple):
+    """How much a placer may rely on what it knows.
+
+    Parameters
+    ----------
+    home_target_share : float
+        The home engine of a prompt is kept while its first event is
+        expected within this share of the aim; 0 for no home engines.
+    home_cached_share : float
+        Share of a shared prompt that its home engine is expected to have
+        read for other nodes.
+    reread_weight : float
+        Cost of a second of an engine's time, in seconds of waiting: what is
+        read again keeps other prompts waiting.
+    patience_by_urgency : tuple of float
+        A request is refused when its first event is expected later than
+        this multiple of its aim, by its urgency; the last one counts for
+        all that are less urgent.  Empty to wait until the caller gives up.
+    """
+
+    home_target_share: float
+    home_cached_share: float
+    reread_weight: float
+    patience_by_urgency: tuple[float, ...]
+
+
+# For a node that sees other nodes' requests late.
+ALONE = Policy(0.6, 0.5, 0.0, ())
+# For a node that places the requests of all nodes.  Under a load beyond what
+# the engines bear, refusing the less urgent requests that would be late
+# leaves time for others to be on time: tests/cover/relay/test_overload.py.
+FOR_ALL = Policy(0.0, 0.0, 1.0, (2.0, 0.7))
 
 
 class _Estimate(typing.NamedTuple):
@@ -42,18 +70,27 @@
     """Keeps prompts that share a part together while that is in time.
 
     The load it answers: prompts of very different length, many of which
-    share their beginning, from nodes whose views of the engines are stale.
-    All nodes find the same home engine of a prompt by rendezvous hashing.
-    A home that is expected to be too late is left for the soonest engine;
-    among engines that are about equal a hash of the request id decides.
+    share their beginning.  Nodes whose views of the engines are stale find
+    the same home engine of a prompt by rendezvous hashing; a home that is
+    expected to be too late is left for the soonest engine, and among engines
+    that are about equal a hash of the request id decides.  A node that
+    places for all sends a prompt to the engine that costs least, and refuses
+    what would be late and keep more urgent requests waiting.
 
     Parameters
     ----------
+    policy : Policy
+        How much it may rely on what it knows.
     tokens_per_s : float
         Prompt tokens that an engine of usual speed computes in a second.
     """
 
-    def __init__(self, tokens_per_s: float = PREFILL_TOKENS_PER_S) -> None:
+    def __init__(
+        self,
+        policy: Policy = ALONE,
+        tokens_per_s: float = PREFILL_TOKENS_PER_S,
+    ) -> None:
+        self._policy = policy
         self._tokens_per_s = tokens_per_s
 
     def place(
@@ -66,8 +103,9 @@
         home = self._home(demand, usable)
         estimates = [self._estimate(demand, v, v is home) for v in usable]
         soonest = min(estimates, key=lambda e: self._cost(demand, e))
-        if soonest.first_event_s > demand.left_s:
-            late_s = soonest.first_event_s - demand.left_s
+        patience_s = self._patience_s(demand)
+        if soonest.first_event_s > patience_s:
+            late_s = soonest.first_event_s - patience_s
             return placing.NotPlaced(
                 f'the first event is expected in {soonest.first_event_s:.2f}'
                 f' s, {late_s:.2f} s too late',
@@ -78,7 +116,7 @@
         if home is not None:
             at_home = next(e for e in estimates if e.view is home)
             limit_s = max(
-                _HOME_TARGET_SHARE * demand.target_s,
+                self._policy.home_target_share * demand.target_s,
                 soonest.first_event_s,
             )
             if (
@@ -90,10 +128,20 @@
             chosen.view, chosen.first_event_s, chosen.uncached_tokens, why
         )
 
+    def _patience_s(self, demand: demands.Demand) -> float:
+        """Return how late the first event may be, in seconds."""
+        patience = self._policy.patience_by_urgency
+        # What has been sent before may have run, and is not given up while
+        # there is time.
+        if not patience or demand.is_repeat:
+            return demand.left_s
+        multiple = patience[min(demand.urgency, len(patience) - 1)]
+        return min(demand.left_s, multiple * demand.target_s)
+
     def _home(
         self, demand: demands.Demand, views: placer.Views
     ) -> server_view.ServerView | None:
-        if not demand.shared_id:
+        if not demand.shared_id or not self._policy.home_target_share:
             return None
         return max(
             views,
@@ -108,8 +156,8 @@
     ) -> _Estimate:
         cached = view.cached_tokens
         if is_home:
-            expected = _HOME_CACHED_SHARE * demand.shared_tokens
-            cached = max(cached, int(expected))
+            share = self._policy.home_cached_share
+            cached = max(cached, int(share * demand.shared_tokens))
         uncached = max(1, demand.prompt_tokens - cached)
         speed = view.speed * self._tokens_per_s
         wait_s = (view.pending_tokens + uncached) / speed
@@ -123,5 +171,10 @@
         cost_s = estimate.first_event_s
         cost_s += _FAILURE_COST_S * estimate.view.failure_share
         cost_s += _CROWDING_S * estimate.view.running / estimate.view.speed
+        cost_s += (
+            self._policy.reread_weight
+            * estimate.uncached_tokens
+            / self._tokens_per_s
+        )
         server_id = estimate.view.server.id
         return cost_s, hash_order.weight(demand.request_id, server_id)
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/placing.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/placing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from foxtailrelay_node.internal.relay.decide import booking as bookings
 from foxtailrelay_node.internal.relay.decide import server_view
 
 
@@ -19,12 +20,15 @@
         Prompt tokens that it is expected to compute.
     why : str
         The rule that chose it.
+    booking : Booking
+        Is told what becomes of the request.
     """
 
     view: server_view.ServerView
     expected_s: float
     uncached_tokens: int
     why: str
+    booking: bookings.Booking = bookings.NO_BOOKING
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""One node places the requests of all for a service."""
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_links.py
@@ -0,0 +1,143 @@
+"""Connections to the nodes that dispatch."""
+
+from foxtailrelay_core import messages
+import logbook
+import trio
+
+from foxtailrelay_node.internal.members import peer_link
+from foxtailrelay_node.internal.relay.http import sockets
+from foxtailrelay_node.internal.relay.peers import address_book
+
+_LOG = logbook.Logger('foxtailrelay.dispatch')
+_CONNECT_TIMEOUT_S = 0.3
+# Notes that wait for a slow dispatcher; more are dropped, and their entries
+# there expire.
+_MOST_NOTES = 256
+
+
+class _Link:
+    """A connection that is being opened or open."""
+
+    def __init__(self) -> None:
+        self.settled = trio.Event()
+        self.peer: peer_link.PeerLink | None = None
+        self.send_notes, self.notes = trio.open_memory_channel(_MOST_NOTES)
+
+
+class DispatchLinks:
+    """Asks dispatchers, over one connection to each.
+
+    Parameters
+    ----------
+    dialer : Dialer
+        Opens connections.
+    """
+
+    def __init__(self, dialer: sockets.Dialer) -> None:
+        self.traffic = messages.TrafficCount()
+        self._dialer = dialer
+        self._link_by_address: dict[address_book.PeerAddress, _Link] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Keep connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.sleep_forever()
+
+    async def ask(
+        self,
+        address: address_book.PeerAddress,
+        call: messages.PlaceCall,
+        timeout_s: float,
+    ) -> messages.PlaceAnswer | str:
+        """Ask a dispatcher; return its answer, or why there is none."""
+        link = self._link(address)
+        if link is None:
+            return 'the node is starting or ending'
+        with trio.move_on_after(timeout_s):
+            await link.settled.wait()
+            if link.peer is None:
+                return 'no connection'
+            try:
+                answer = await link.peer.request(call, timeout_s)
+            except peer_link.LinkClosed as error:
+                return str(error)
+            if isinstance(answer, messages.PlaceAnswer):
+                return answer
+            return f'answered by {type(answer).__name__}'
+        return 'no answer in time'
+
+    def tell(
+        self, address: address_book.PeerAddress, note: messages.PlaceNote
+    ) -> None:
+        """Tell a dispatcher; without a connection its entry expires."""
+        link = self._link_by_address.get(address)
+        if link is None:
+            return
+        try:
+            link.send_notes.send_nowait(note)
+        except trio.WouldBlock:
+            _LOG.debug('dispatch-note-dropped', extra={'peer': address.host})
+
+    def _link(self, address: address_book.PeerAddress) -> _Link | None:
+        link = self._link_by_address.get(address)
+        if link is None and self._nursery is not None:
+            link = _Link()
+            self._link_by_address[address] = link
+            self._nursery.start_soon(self._keep, address, link)
+        return link
+
+    async def _keep(
+        self, address: address_book.PeerAddress, link: _Link
+    ) -> None:
+        """Keep one connection until it ends."""
+        stream = None
+        try:
+            with trio.move_on_after(_CONNECT_TIMEOUT_S):
+                stream = await self._dialer.connect(address.host, address.port)
+            if stream is None:
+                return
+            frames = messages.FrameStream(stream, self.traffic)
+            link.peer = peer_link.PeerLink(frames)
+            link.settled.set()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_notes, frames, link)
+                await self._receive(address, link.peer)
+                nursery.cancel_scope.cancel()
+        except OSError as error:
+            _LOG.info(
+                'dispatcher-unreachable',
+                extra={'peer': address.host, 'reason': str(error)},
+            )
+        finally:
+            del self._link_by_address[address]
+            link.settled.set()
+            if stream is not None:
+                await trio.aclose_forcefully(stream)
+
+    @staticmethod
+    async def _receive(
+        address: address_book.PeerAddress, peer: peer_link.PeerLink
+    ) -> None:
+        try:
+            await peer.receive_forever()
+        except (
+            messages.FrameError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            _LOG.debug(
+                'dispatch-connection-ended',
+                extra={'peer': address.host, 'reason': str(error)},
+            )
+
+    @staticmethod
+    async def _send_notes(frames: messages.FrameStream, link: _Link) -> None:
+        try:
+            async for note in link.notes:
+                await frames.send(0, note)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            _LOG.debug(
+                'dispatch-connection-ended', extra={'reason': str(error)}
+            )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -0,0 +1,197 @@
+"""Places the requests of all nodes."""
+
+import typing
+
+from foxtailrelay_core import messages
+import logbook
+
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import load_book
+from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay import caller_request
+from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.decide import demand as demands
+from foxtailrelay_node.internal.relay.decide import model_placer
+from foxtailrelay_node.internal.relay.decide import placing
+from foxtailrelay_node.internal.relay import node_state
+
+_LOG = logbook.Logger('foxtailrelay.dispatch')
+# An entry whose node says nothing more is taken to be over after this long
+# and this long for each token of its answer, in seconds; several times what
+# engines take.
+_LONGEST_ENTRY_S = 4.0
+_LONGEST_TOKEN_S = 0.03
+# Answers are not taken to be faster than this when speeds are learned, in
+# seconds.
+_SHORTEST_ANSWER_S = 0.002
+
+NOT_JUDGED = messages.PlaceAnswer('', 0, 0, 0, 0, 0, '', 0, False)
+
+
+class _Entry(typing.NamedTuple):
+    """A request that was placed and has not ended."""
+
+    server: backend_server.BackendServer
+    uncached_tokens: int
+    expected_s: float
+    over_at_s: float
+    has_begun: bool
+
+
+class Dispatcher:
+    """Knows all requests that it has placed, and how each went on.
+
+    The load it answers: prompts that keep an engine busy for a tenth of a
+    second or more, from many nodes.  Reports between nodes are older than
+    that, so nodes that decide by them meet at the same engines; the one
+    node that all ask sees each request at once.  Nothing depends on who
+    dispatches: a node that gets no answer decides by itself.
+
+    Parameters
+    ----------
+    servers : ServerList
+        Backend servers that may be used.
+    state : NodeState
+        The configuration in force.
+    clock : Clock
+        Judges ages.
+    """
+
+    def __init__(
+        self,
+        servers: server_list.ServerList,
+        state: node_state.NodeState,
+        clock: clocks.Clock,
+    ) -> None:
+        self._servers = servers
+        self._state = state
+        self._clock = clock
+        self._loads = load_book.LoadBook(clock)
+        self._placer = model_placer.ModelPlacer(model_placer.FOR_ALL)
+        self._entry_by_booking: dict[int, _Entry] = {}
+
+    def answer(self, call: messages.PlaceCall) -> messages.PlaceAnswer:
+        """Choose a server for a request, and count it there."""
+        parts = tuple(
+            caller_request.PromptPart(name, tokens)
+            for name, tokens in zip(
+                call.part_ids, call.part_tokens, strict=False
+            )
+        )
+        table = self._state.table
+        service = table.service_by_name.get(call.service) if table else None
+        servers = self._servers.usable(call.service)
+        if service is None or service.model is None or not servers:
+            return NOT_JUDGED
+        excluded = set(call.excluded)
+        views = [
+            self._loads.view(server, parts, service.model.memory_tokens)
+            for server in servers
+            if server.id not in excluded
+        ]
+        result = self._placer.place(_demand(call, parts), views)
+        if isinstance(result, placing.NotPlaced):
+            return _refusal(result)
+        self._enter(call, parts, result)
+        return _acceptance(result)
+
+    def note(self, note: messages.PlaceNote) -> None:
+        """Take in what has become of a request."""
+        entry = self._entry_by_booking.get(note.booking)
+        if entry is None:
+            return
+        if note.event is messages.PlaceEvent.BEGUN:
+            self._begin(note.booking, entry)
+            taken_s = max(_SHORTEST_ANSWER_S, note.first_us / 1e6)
+            self._loads.note_speed(entry.server, entry.expected_s / taken_s)
+            return
+        self._end(note.booking, entry)
+        if note.event is messages.PlaceEvent.DONE:
+            self._loads.note_success(entry.server)
+        elif note.event is messages.PlaceEvent.FAILED:
+            self._loads.note_failure(entry.server)
+
+    def forget_old(self) -> None:
+        """End entries whose nodes say nothing more."""
+        now_s = self._clock.boot_s()
+        old = [
+            (booking, entry)
+            for booking, entry in self._entry_by_booking.items()
+            if entry.over_at_s < now_s
+        ]
+        for booking, entry in old:
+            self._end(booking, entry)
+        if old:
+            _LOG.info('placements-expired', extra={'count': len(old)})
+        self._loads.forget_unused()
+
+    def _enter(
+        self,
+        call: messages.PlaceCall,
+        parts: tuple[caller_request.PromptPart, ...],
+        result: placing.Placed,
+    ) -> None:
+        server = result.view.server
+        self._loads.note_sent(server, parts, result.uncached_tokens)
+        longest_s = _LONGEST_ENTRY_S + _LONGEST_TOKEN_S * call.answer_tokens
+        self._entry_by_booking[call.booking] = _Entry(
+            server,
+            result.uncached_tokens,
+            result.expected_s,
+            self._clock.boot_s() + longest_s,
+            False,
+        )
+
+    def _begin(self, booking: int, entry: _Entry) -> None:
+        if not entry.has_begun:
+            self._loads.note_begun(entry.server, entry.uncached_tokens)
+            begun = entry._replace(has_begun=True)
+            self._entry_by_booking[booking] = begun
+
+    def _end(self, booking: int, entry: _Entry) -> None:
+        self._begin(booking, entry)
+        del self._entry_by_booking[booking]
+        self._loads.note_ended(entry.server)
+
+
+def _demand(
+    call: messages.PlaceCall, parts: tuple[caller_request.PromptPart, ...]
+) -> demands.Demand:
+    shared = parts[:-1]
+    return demands.Demand(
+        call.request_id,
+        call.prompt_tokens,
+        call.answer_tokens,
+        shared[-1].id if shared else '',
+        sum(part.tokens for part in shared),
+        call.target_ms / 1000,
+        call.left_ms / 1000,
+        call.urgency,
+        call.zone,
+        call.is_repeat,
+    )
+
+
+def _refusal(result: placing.NotPlaced) -> messages.PlaceAnswer:
+    if not result.has_servers:
+        return NOT_JUDGED
+    return NOT_JUDGED._replace(
+        why=result.why,
+        retry_after_ms=int(result.retry_after_s * 1000),
+        is_judged=True,
+    )
+
+
+def _acceptance(result: placing.Placed) -> messages.PlaceAnswer:
+    view = result.view
+    return messages.PlaceAnswer(
+        view.server.id,
+        int(result.expected_s * 1e6),
+        result.uncached_tokens,
+        max(0, view.running),
+        max(0, view.pending_tokens),
+        int(view.speed * 100),
+        result.why,
+        0,
+        True,
+    )
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -24,6 +24,12 @@
             ['service', 'outcome'],
             registry=self.registry,
         )
+        self.placements = prometheus_client.Counter(
+            'foxtailrelay_placements',
+            'Decisions where to send a request, by who decided.',
+            ['service', 'by'],
+            registry=self.registry,
+        )
         self.first_byte_seconds = prometheus_client.Histogram(
             'foxtailrelay_first_byte_seconds',
             'Time from a request to the first byte of its answer.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -14,9 +14,14 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import caller_gate
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.decide import hash_order
 from foxtailrelay_node.internal.relay.decide import quota as quotas
 from foxtailrelay_node.internal.relay.decide import repeat_budget
 from foxtailrelay_node.internal.relay import demand_meter
+from foxtailrelay_node.internal.relay.dispatch import dispatch_links
+from foxtailrelay_node.internal.relay.dispatch import dispatcher
+from foxtailrelay_node.internal.relay.dispatch import dispatcher_choice
+from foxtailrelay_node.internal.relay.dispatch import placements
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import engine_orderer
 from foxtailrelay_node.internal.relay.duties import lease_keeper
@@ -53,6 +58,7 @@
 # A peer's connection without a request for this long is closed, in seconds.
 _PEER_SILENCE_S = 4.0
 _HOUSEKEEPING_S = 0.5
+_MOST_CENTICORES = 0xFFFF
 _DUTY_INTERVAL_S = 0.5
 
 
@@ -150,6 +156,7 @@
             settings.peers.host,
             settings.peers.port,
             int(self._time.now_s() * 1000),
+            min(_MOST_CENTICORES, round(settings.cores * 100)),
         )
         self._news = news_module.News(
             self._identity,
@@ -183,8 +190,12 @@
         self._links = exchange_links.ExchangeLinks(
             self._news, self._addresses, self._clock, self._dialer
         )
+        self._dispatcher = dispatcher.Dispatcher(
+            self._servers, self._state, self._clock
+        )
+        self._dispatch_links = dispatch_links.DispatchLinks(self._dialer)
         self._exchange_server = exchange_server.ExchangeServer(
-            self._news, _PEER_SILENCE_S, self._clock
+            self._news, _PEER_SILENCE_S, self._clock, self._dispatcher
         )
 
     def _build_duties(self) -> None:
@@ -233,6 +244,18 @@
                 attempt_parts.AttemptParts(
                     servers=self._servers,
                     loads=self._loads,
+                    placements=placements.Placements(
+                        dispatcher_choice.DispatcherChoice(
+                            self._identity, self._news.table, self._clock
+                        ),
+                        self._dispatch_links,
+                        self._dispatcher,
+                        self._servers,
+                        self._loads,
+                        self._metrics,
+                        self._clock,
+                        self._settings.zone,
+                    ),
                     pool=self._pool,
                     budget=self._budget,
                     usage=self._usage,
@@ -242,7 +265,6 @@
                     demand=self._demand,
                     metrics=self._metrics,
                     clock=self._clock,
-                    zone=self._settings.zone,
                 )
             ),
             self._metrics,
@@ -281,6 +303,7 @@
                 self._configuration.run,
                 self._server_follower.run,
                 self._links.run,
+                self._dispatch_links.run,
                 self._register.run,
                 self._settings_watch.run,
                 self._keep_house,
@@ -363,10 +386,15 @@
             self._time.follow()
             await self._pool.close_old()
             self._loads.forget_unused()
+            self._dispatcher.forget_old()
             ids = sorted(p.copy.node_id for p in self._news.table.up())
             self._keeper.rank = sum(
                 node_id < self._settings.node_id for node_id in ids
             )
+            for follower in (self._configuration, self._server_follower):
+                follower.rank = hash_order.rank(
+                    follower.topic, self._settings.node_id, ids
+                )
 
     async def _run_duties(self) -> None:
         while True:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
@@ -40,6 +40,8 @@
         What one node does for all: ``usage`` and ``scaling``.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    cores : float
+        What the processor carries; 0.5 is half of a core.
     """
 
     node_id: str
@@ -64,3 +66,4 @@
     usage_due_s: float
     duties: frozenset[str]
     is_first_start: bool
+    cores: float
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -9,11 +9,17 @@
 from foxtailrelay_node.internal.relay.decide import quota
 from foxtailrelay_node.internal.relay.decide import repeat_budget
 from foxtailrelay_node.internal.relay import demand_meter
+from foxtailrelay_node.internal.relay.dispatch import dispatch_links
+from foxtailrelay_node.internal.relay.dispatch import dispatcher
+from foxtailrelay_node.internal.relay.dispatch import dispatcher_choice
+from foxtailrelay_node.internal.relay.dispatch import placements
 from foxtailrelay_node.internal.relay.duties import usage_book
 from foxtailrelay_node.internal.relay.http import backend_pool
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay import node_state
+from foxtailrelay_node.internal.relay.peers import news
+from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import request_relay
 from foxtailrelay_node.internal.relay import request_timer
@@ -129,9 +135,15 @@
         self.budget = repeat_budget.RepeatBudget(0.2, 10, 10.0)
         self.usage = usage_book.UsageBook(5.0)
         self.loads = load_book.LoadBook(self.clock)
+        metrics = relay_metrics.RelayMetrics()
+        self.table = peer_table.PeerTable('n1', self.clock)
+        self.dispatcher = dispatcher.Dispatcher(
+            self.servers, self.state, self.clock
+        )
+        links = dispatch_links.DispatchLinks(self.dialer)
+        nursery.start_soon(links.run)
         timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(timer.run)
-        metrics = relay_metrics.RelayMetrics()
         wire = header_format.HeaderFormat()
         self.relay = request_relay.RequestRelay(
             self.state,
@@ -141,6 +153,20 @@
                 attempt_parts.AttemptParts(
                     servers=self.servers,
                     loads=self.loads,
+                    placements=placements.Placements(
+                        dispatcher_choice.DispatcherChoice(
+                            news.Identity('c', 'n1', 'a', '10.9.0.1', 80, 1),
+                            self.table,
+                            self.clock,
+                        ),
+                        links,
+                        self.dispatcher,
+                        self.servers,
+                        self.loads,
+                        metrics,
+                        self.clock,
+                        'a',
+                    ),
                     pool=backend_pool.BackendPool(
                         self.dialer, self.clock.boot_s
                     ),
@@ -152,7 +178,6 @@
                     demand=demand_meter.DemandMeter(),
                     metrics=metrics,
                     clock=self.clock,
-                    zone='a',
                 )
             ),
             metrics,
