Replace engines that are taken away, and do not cancel booting ones

Change: a first start ends; a loss is answered after 3 s at most; a load beyond the plan is answered before it has been watched for long, and a first start plans by 0.6 of the lasting engines that appear. Slots count for what the engines bear.

--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/engine_plan.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/engine_plan.py
@@ -16,8 +16,9 @@
 _BORNE_TOKENS_PER_S = 45_000.0
 # Reclaimable engines beyond one for each data centre.
 _SPARE_ENGINES = 3
-# Part of an engine's slots that shall be in use.
+# Part of an engine's slots that shall be in use, and that may be for a while.
 _PLANNED_SLOT_PART = 0.6
+_BORNE_SLOT_PART = 0.85
 
 
 class ZoneStock(typing.NamedTuple):
@@ -101,7 +102,7 @@
         zone: _kept_lasting(stock, count_by_zone[zone], need)
         for zone, stock in stock_by_zone.items()
     }
-    missing = _missing(stock_by_zone, lasting_by_zone, need)
+    missing = _missing(service, stock_by_zone, lasting_by_zone, need)
     for zone in zones:
         stock = stock_by_zone[zone]
         if stock.is_spot_out:
@@ -123,6 +124,7 @@
 
 
 def _missing(
+    service: services.Service,
     stock_by_zone: dict[str, ZoneStock],
     lasting_by_zone: dict[str, int],
     need: Need,
@@ -132,8 +134,11 @@
         return 0
     reclaimable = [stock.reclaimable for stock in stock_by_zone.values()]
     left = sum(reclaimable) - max(reclaimable) + sum(lasting_by_zone.values())
-    borne = math.ceil(need.tokens_per_s / _BORNE_TOKENS_PER_S)
-    return max(0, borne - left)
+    borne = need.tokens_per_s / _BORNE_TOKENS_PER_S
+    if service.model is not None:
+        slots = _BORNE_SLOT_PART * service.model.slots
+        borne = max(borne, need.running / slots)
+    return max(0, math.ceil(borne) - left)
 
 
 def _wanted(service: services.Service, zone_count: int, need: Need) -> int:
@@ -144,7 +149,7 @@
     least = zone_count * max(1, service.scaling.least_per_zone)
     least += _SPARE_ENGINES
     if not need.is_warm:
-        return max(least, need.prior_engines)
+        least = max(least, need.prior_engines)
     loaded = need.tokens_per_s / PLANNED_TOKENS_PER_S
     if service.model is not None:
         slots = _PLANNED_SLOT_PART * service.model.slots
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
@@ -31,14 +31,23 @@
 _WARM_S = 6.0
 # A first start is over after this long, in seconds; callers come by then.
 _FIRST_START_S = 8.0
+# Until the load is known after a first start, this part of the lasting
+# engines that the operators began with is planned for; they are meant for
+# the heaviest load.
+_FIRST_PART = 0.6
+# Lasting engines are counted for this long after a first start, in seconds.
+_FIRST_COUNT_S = 40.0
 
 _OrderKey = tuple[str, str, bool]
 
 
 class _GivenOrder(typing.NamedTuple):
+    """An order and what came of it; ``most`` were at hand since."""
+
     count: int
     at_s: float
     is_accepted: bool
+    most: int
 
 
 class EngineOrderer:
@@ -76,6 +85,7 @@
         self._clock = clock
         self._is_first_start = is_first_start
         self._started_s = clock.boot_s()
+        self._first_ids_by_service: dict[str, set[str]] = {}
         self._term = -1
         self._given_by_key: dict[_OrderKey, _GivenOrder] = {}
         self._spot_out_by_zone: dict[tuple[str, str], float] = {}
@@ -101,7 +111,7 @@
         orders = engine_plan.plan_engines(service, stock_by_zone, need)
         for order in orders:
             stock = stock_by_zone[order.zone]
-            if self._is_due(order, stock, service.scaling.boot_s):
+            if self._is_due(order, stock, need, service.scaling.boot_s):
                 await self._give(order, stock, need)
 
     def _stock(
@@ -161,14 +171,29 @@
             load.tokens_per_s,
             load.running,
             load.is_warm(now_s),
-            load.prior_engines,
+            self._prior_engines(service, load, now_s),
             is_first_start,
         )
 
+    def _prior_engines(
+        self, service: str, load: watched_load.WatchedLoad, now_s: float
+    ) -> int:
+        """Return how many engines to keep until the load is known."""
+        if (
+            not self._is_first_start
+            or now_s - self._started_s > _FIRST_COUNT_S
+        ):
+            return load.prior_engines
+        # The list of servers fills while the first orders are given.
+        first_ids = self._first_ids_by_service.setdefault(service, set())
+        first_ids |= self._servers.lasting_ids(service)
+        return math.ceil(_FIRST_PART * len(first_ids))
+
     def _is_due(
         self,
         order: duty_platform.EngineOrder,
         stock: engine_plan.ZoneStock,
+        need: engine_plan.Need,
         boot_s: float,
     ) -> bool:
         given = self._given_by_key.get(_key(order))
@@ -177,7 +202,7 @@
             return (
                 order.is_reclaimable
                 or order.count != stock.lasting
-                or self._is_first_start
+                or need.is_first_start
             )
         age_s = self._clock.boot_s() - given.at_s
         if not given.is_accepted:
@@ -185,6 +210,10 @@
         if given.count != order.count:
             return True
         at_hand = stock.reclaimable if order.is_reclaimable else stock.lasting
+        if at_hand < given.most:
+            # Some were taken away since; those are not replaced by itself.
+            return age_s >= _AGAIN_S
+        self._given_by_key[_key(order)] = given._replace(most=at_hand)
         return at_hand != order.count and age_s >= boot_s + _MISSING_S
 
     async def _give(
@@ -199,8 +228,9 @@
         sent_at_s = self._clock.boot_s()
         result = await self._platform.order_engines(fence, order)
         is_accepted = isinstance(result, duty_platform.Accepted)
+        at_hand = stock.reclaimable if order.is_reclaimable else stock.lasting
         self._given_by_key[_key(order)] = _GivenOrder(
-            order.count, sent_at_s, is_accepted
+            order.count, sent_at_s, is_accepted, min(at_hand, order.count)
         )
         _LOG.info(
             'engines-ordered',
--- /dev/null
+++ b/tests/cover/relay/test_engine_orderer.py
@@ -0,0 +1,157 @@
+"""Orders of engines are given when they are due, and not undone."""
+
+import json
+
+from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay.catalogue import service as services
+from foxtailrelay_node.internal.relay.duties import duty_platform
+from foxtailrelay_node.internal.relay.duties import engine_orderer
+from foxtailrelay_node.internal.relay.state import record_source
+from foxtailrelay_node.internal.relay.state import store_health
+from foxtailrelay_platform import server_format
+
+from common import boot_clock
+from common import virtual_time
+
+_ZONES = ('a', 'b')
+_SERVICE = services.Service(
+    'm',
+    services.ModelProfile(12, 400_000),
+    services.ScalingTerms(1, 20, 4.0, 0.2, dict.fromkeys(_ZONES, 1.0)),
+)
+
+
+class _Keeper:
+    def __init__(self):
+        self.number = 1
+
+    def fence(self):
+        return duty_platform.Fence(f'n{self.number}', self.number)
+
+    def give_up(self, reason):
+        raise AssertionError(reason)
+
+
+class _Platform:
+    def __init__(self):
+        self.orders = []
+        self.is_dry = False
+
+    async def order_engines(self, fence, order):
+        self.orders.append(order)
+        if order.is_reclaimable and self.is_dry:
+            return duty_platform.NoneAvailable()
+        return duty_platform.Accepted()
+
+
+class _Table:
+    service_by_name = {'m': _SERVICE}
+
+
+class _Rig:
+    """An orderer and what it sees."""
+
+    def __init__(self, is_first_start=False):
+        self.clock = boot_clock.HandClock()
+        self.keeper = _Keeper()
+        self.platform = _Platform()
+        self.tokens_per_s = 0
+        self.servers = server_list.ServerList(
+            server_format.ServerFormat(),
+            store_health.StoreHealth(self.clock),
+            self.clock,
+        )
+        self.orderer = engine_orderer.EngineOrderer(
+            self.keeper,
+            self.platform,
+            self.servers,
+            lambda: [messages.TryCount('m', 0, 0, self.tokens_per_s, 0, 0)],
+            self.clock,
+            is_first_start,
+        )
+
+    def list_engine(self, name, zone, is_reclaimable, state='ready'):
+        value = {
+            'service': 'm',
+            'address': '10.0.0.1:80',
+            'zone': zone,
+            'slots': 12,
+            'state': state,
+            'born': 1,
+            'spot': is_reclaimable,
+        }
+        self.servers.take(
+            [record_source.KeyedRecord(name, 0, json.dumps(value).encode())]
+        )
+
+    def remove_engine(self, name):
+        self.servers.take([record_source.KeyedRecord(name, 0, None)])
+
+    def play(self, seconds):
+        """Let time pass; return the orders that were given in it."""
+        self.platform.orders = []
+        for _ in range(round(seconds / 0.5)):
+            self.clock.now_s += 0.5
+            virtual_time.run(lambda: self.orderer.step(_Table()))
+        return self.platform.orders
+
+
+def _with_engines(rig):
+    """List what the plan asks for under no load."""
+    for order in rig.play(1.0):
+        if order.is_reclaimable:
+            for index in range(order.count):
+                rig.list_engine(f'{order.zone}{index}', order.zone, True)
+    rig.tokens_per_s = 40_000
+    rig.play(4.0)
+
+
+def test_a_later_holder_leaves_booting_engines_of_an_earlier_one():
+    rig = _Rig(is_first_start=True)
+    _with_engines(rig)
+    rig.clock.now_s += 60
+    rig.keeper.number = 2
+    orders = rig.play(0.5)
+    assert orders
+    assert all(order.is_reclaimable for order in orders)
+
+
+def test_engines_that_were_taken_away_are_ordered_again_within_seconds():
+    rig = _Rig()
+    _with_engines(rig)
+    rig.remove_engine('a0')
+    orders = rig.play(1.0)
+    assert [(o.zone, o.is_reclaimable) for o in orders] == [('a', True)]
+
+
+def test_lasting_engines_follow_at_once_when_no_others_are_to_be_had():
+    rig = _Rig()
+    _with_engines(rig)
+    rig.tokens_per_s = 120_000
+    rig.platform.is_dry = True
+    for index in range(3):
+        rig.remove_engine(f'a{index}')
+    orders = rig.play(2.0)
+    assert any(not o.is_reclaimable and o.count > 0 for o in orders)
+
+
+def test_a_first_start_plans_by_the_engines_that_appear_one_by_one():
+    rig = _Rig(is_first_start=True)
+    counts = []
+    for index in range(40):
+        rig.list_engine(f'l{index}', _ZONES[index % 2], False)
+        rig.list_engine(
+            f'l{index}', _ZONES[index % 2], False, state='draining'
+        )
+        counts += [o for o in rig.play(0.5) if o.is_reclaimable]
+    last = {order.zone: order.count for order in counts}
+    assert sum(last.values()) == 24
+
+
+def test_a_load_beyond_the_first_engines_is_answered_before_it_is_known():
+    rig = _Rig(is_first_start=True)
+    rig.play(10.0)
+    rig.tokens_per_s = 500_000
+    orders = rig.play(1.0)
+    assert sum(o.count for o in orders if o.is_reclaimable) >= 20
