--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/knowledge.py
@@ -0,0 +1,107 @@
+"""What a node knows of the configuration, of servers and of loads."""
+
+from foxtailrelay_core import messages
+
+from foxtailrelay_node.internal.relay.backends import load_book
+from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.decide import quota as quotas
+from foxtailrelay_node.internal.relay.decide import repeat_budget
+from foxtailrelay_node.internal.relay import demand_meter
+from foxtailrelay_node.internal.relay.duties import usage_book
+from foxtailrelay_node.internal.relay import node_state
+from foxtailrelay_node.internal.relay import relay_ports
+from foxtailrelay_node.internal.relay import relay_settings
+from foxtailrelay_node.internal.relay.state import store_health
+from foxtailrelay_node.internal.relay.state import topic_follower
+from foxtailrelay_node.internal.relay import true_time
+
+# The configuration and the list of servers are proved to be current after
+# these parts of the times in which a configuration must be in force and a
+# leaving server must get no requests, in case a poll should miss a change.
+_CONFIGURATION_PROOF_PART = 0.8
+_SERVER_PROOF_PART = 0.75
+
+
+class Knowledge:
+    """The copies, books and counts of one node.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Settings at the start.
+    ports : RelayPorts
+        How to reach the platform.
+    clock : Clock
+        Judges ages.
+
+    Attributes
+    ----------
+    time : TrueTime
+        Time of day.
+    state, configuration : NodeState, TopicFollower
+        The configuration in force, and what keeps it current.
+    servers, server_follower : ServerList, TopicFollower
+        The list of servers, and what keeps it current.
+    loads, quota, budget, usage, demand
+        Counts of this node and, except for the last, of its peers.
+    """
+
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        ports: relay_ports.RelayPorts,
+        clock: clocks.Clock,
+    ) -> None:
+        self._clock = clock
+        health = store_health.StoreHealth(clock)
+        self.time = true_time.TrueTime(clock)
+        self.state = node_state.NodeState(
+            ports.configurations, clock, settings.proof_s
+        )
+        self.configuration = topic_follower.TopicFollower(
+            ports.configuration_topic,
+            ports.source,
+            self.state,
+            health,
+            clock,
+            _CONFIGURATION_PROOF_PART * settings.apply_s,
+        )
+        self.state.follower = self.configuration
+        self.servers = server_list.ServerList(ports.servers, health, clock)
+        self.server_follower = topic_follower.TopicFollower(
+            ports.server_topic,
+            ports.source,
+            self.servers,
+            health,
+            clock,
+            _SERVER_PROOF_PART * settings.drain_s,
+        )
+        self.loads = load_book.LoadBook(clock)
+        self.quota = quotas.Quota(
+            settings.limit_window_s,
+            clock.boot_s(),
+            settings.limit_tolerance,
+        )
+        self.budget = repeat_budget.RepeatBudget(
+            settings.repeat_ratio,
+            settings.repeat_extra,
+            settings.repeat_window_s,
+        )
+        self.usage = usage_book.UsageBook(settings.usage_window_s)
+        self.demand = demand_meter.DemandMeter()
+
+    @property
+    def followers(self) -> tuple[topic_follower.TopicFollower, ...]:
+        """What keeps the copies current."""
+        return self.configuration, self.server_follower
+
+    def own_demand(self) -> tuple[dict[str, float], dict[str, int]]:
+        """Return what callers ask of this node, by service."""
+        return self.demand.demand(self._clock.boot_s())
+
+    def all_tries(self) -> list[messages.TryCount]:
+        """Return the counts of all nodes."""
+        now_s = self._clock.boot_s()
+        own = self.budget.tries(now_s, *self.own_demand())
+        return [*own, *self.budget.peer_tries()]
--- /dev/null
+++ b/tests/cover/relay/test_dispatch.py
@@ -0,0 +1,231 @@
+"""One node places for all; no answer of it costs more than a moment."""
+
+from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.dispatch import dispatch_links
+from foxtailrelay_node.internal.relay.dispatch import dispatcher_choice
+from foxtailrelay_node.internal.relay.peers import address_book
+from foxtailrelay_node.internal.relay.peers import exchange_server
+from foxtailrelay_node.internal.relay.peers import news as news_module
+from foxtailrelay_node.internal.relay.peers import peer_table
+import trio
+from trio import testing
+
+from common import boot_clock
+from common import relay_rig
+
+_PEER_HOST = '10.9.0.2'
+_CALL = messages.PlaceCall(
+    'r1', 'model', ('aa',), (900,), 900, 80, 500, 9000, 0, 'a', False, (), 1
+)
+
+
+def _report(centicores=100, is_leaving=False, host=_PEER_HOST):
+    return messages.NodeReport(
+        'a', host, 80, is_leaving, (), (), (), (), centicores
+    )
+
+
+def _copy(node_id, sequence=1, **report):
+    body = messages.encode_report(_report(**report))
+    return messages.ReportCopy(node_id, 1, sequence, 0, body)
+
+
+def _add_peer(rig, serve):
+    """Let a stronger peer be heard of; ``serve`` answers its port."""
+    rig.table.take(_copy('n2', centicores=1000))
+    rig.dialer.backend_by_host[_PEER_HOST] = serve
+
+
+def _serve(rig):
+    """Answer as the rig's own dispatcher does."""
+    return exchange_server.ExchangeServer(
+        None, 60.0, rig.clock, rig.dispatcher
+    ).serve_connection
+
+
+def _stream_backend(requests):
+    return relay_rig.backend(
+        relay_rig.stream_head()
+        + relay_rig.chunk(relay_rig.event(1))
+        + relay_rig.LAST_CHUNK,
+        requests=requests,
+    )
+
+
+async def _ask(rig):
+    caller = rig.connect()
+    await caller.send('/stream/x')
+    return await caller.receive()
+
+
+@relay_rig.scenario
+async def test_a_stronger_peer_places_and_is_told_how_it_went(rig):
+    requests = []
+    rig.add_server('model', 1, _stream_backend(requests))
+    calls, notes = [], []
+    answer, note = rig.dispatcher.answer, rig.dispatcher.note
+    rig.dispatcher.answer = lambda c: (calls.append(c), answer(c))[1]
+    rig.dispatcher.note = lambda n: (notes.append(n), note(n))[1]
+    _add_peer(rig, _serve(rig))
+    assert relay_rig.status(await _ask(rig)) == 200
+    await trio.sleep(0.1)
+    assert [call.request_id for call in calls] == ['r1']
+    assert [n.event for n in notes] == [
+        messages.PlaceEvent.BEGUN,
+        messages.PlaceEvent.DONE,
+    ]
+    assert {n.booking for n in notes} == {calls[0].booking}
+
+
+@relay_rig.scenario
+async def test_a_silent_dispatcher_costs_a_fifth_of_a_second_once(rig):
+    async def silent(stream):
+        async for _ in stream:
+            pass
+
+    rig.add_server('model', 1, _stream_backend([]))
+    _add_peer(rig, silent)
+    began_s = trio.current_time()
+    assert relay_rig.status(await _ask(rig)) == 200
+    assert trio.current_time() - began_s <= 0.25
+    rig.add_server('model', 1, _stream_backend([]))
+    began_s = trio.current_time()
+    assert relay_rig.status(await _ask(rig)) == 200
+    assert trio.current_time() - began_s <= 0.02
+
+
+@relay_rig.scenario
+async def test_a_dispatcher_that_cannot_be_reached_is_done_without(rig):
+    rig.add_server('model', 1, _stream_backend([]))
+    rig.table.take(_copy('n2', centicores=1000))
+    assert relay_rig.status(await _ask(rig)) == 200
+
+
+@relay_rig.scenario
+async def test_a_server_that_only_the_dispatcher_lists_is_not_used(rig):
+    requests = []
+    rig.add_server('model', 1, _stream_backend(requests))
+    rig.dispatcher.answer = lambda call: messages.PlaceAnswer(
+        'unheard-of', 20_000, 900, 0, 0, 100, 'soonest', 0, True
+    )
+    assert relay_rig.status(await _ask(rig)) == 200
+    assert len(requests) == 1
+
+
+@relay_rig.scenario
+async def test_what_the_dispatcher_refuses_is_refused_at_once_as_not_run(rig):
+    requests = []
+    rig.add_server('model', 1, _stream_backend(requests))
+    rig.dispatcher.answer = lambda call: messages.PlaceAnswer(
+        '', 0, 0, 0, 0, 0, 'too late', 1500, True
+    )
+    answer = await _ask(rig)
+    assert relay_rig.status(answer) == 503
+    assert b'retry-after: 1.5' in answer.lower()
+    assert not requests
+
+
+@relay_rig.scenario
+async def test_a_caller_that_leaves_while_the_dispatcher_decides_is_undone(
+    rig,
+):
+    notes = []
+    rig.dispatcher.note = notes.append
+    rig.add_server('model', 1, _stream_backend([]))
+    serve = _serve(rig)
+
+    async def slow(stream):
+        await trio.sleep(0.15)
+        await serve(stream)
+
+    _add_peer(rig, slow)
+    caller = rig.connect()
+    await caller.send('/stream/x')
+    await trio.sleep(0.05)
+    await caller.stream.aclose()
+    await trio.sleep(1.0)
+    assert [n.event for n in notes] == [messages.PlaceEvent.LEFT]
+
+
+@relay_rig.scenario
+async def test_requests_that_nobody_ends_do_not_count_for_ever(rig):
+    rig.add_server('model', 1, _stream_backend([]))
+    for booking in range(5):
+        rig.dispatcher.answer(_CALL._replace(booking=booking))
+    assert rig.dispatcher.answer(_CALL._replace(booking=9)).running == 5
+    await trio.sleep(10)
+    rig.dispatcher.forget_old()
+    answer = rig.dispatcher.answer(_CALL._replace(booking=10))
+    assert (answer.running, answer.pending_tokens) == (0, 0)
+
+
+@relay_rig.scenario
+async def test_an_engine_that_fails_one_node_is_avoided_for_all(rig):
+    for index in (1, 2):
+        rig.add_server('model', index, _stream_backend([]))
+    first = rig.dispatcher.answer(_CALL)
+    rig.dispatcher.note(messages.PlaceNote(1, messages.PlaceEvent.FAILED, 0))
+    for booking in range(2, 6):
+        answer = rig.dispatcher.answer(_CALL._replace(booking=booking))
+        assert answer.server != first.server
+
+
+@relay_rig.scenario
+async def test_a_node_without_configuration_judges_nothing(rig):
+    rig.state.table = None
+    assert not rig.dispatcher.answer(_CALL).is_judged
+
+
+def _choice(clock, own, centicores=100):
+    identity = news_module.Identity(
+        'c', own, 'a', '10.9.0.9', 80, 1, centicores
+    )
+    table = peer_table.PeerTable(own, clock)
+    return table, dispatcher_choice.DispatcherChoice(identity, table, clock)
+
+
+def test_all_nodes_choose_the_same_strong_node():
+    clock = boot_clock.HandClock()
+    cores = {f'n{i}': 215 if i < 4 else 39 for i in range(20)}
+    chosen = set()
+    for own in cores:
+        table, choice = _choice(clock, own, cores[own])
+        for node, centicores in cores.items():
+            table.take(_copy(node, centicores=centicores))
+        peer = choice.choose('model')
+        chosen.add(own if peer is None else peer.copy.node_id)
+    assert len(chosen) == 1
+    assert cores[chosen.pop()] == 215
+
+
+def test_a_node_that_leaves_or_did_not_answer_is_not_asked():
+    clock = boot_clock.HandClock()
+    table, choice = _choice(clock, 'n1')
+    table.take(_copy('n2', centicores=1000))
+    peer = choice.choose('model')
+    choice.suspect(peer)
+    assert choice.choose('model') is None
+    clock.now_s += 1.9
+    table.take(_copy('n2', sequence=2, centicores=1000))
+    assert choice.choose('model') is None
+    clock.now_s += 0.2
+    assert choice.choose('model').copy.node_id == 'n2'
+    table.take(_copy('n2', sequence=3, centicores=1000, is_leaving=True))
+    assert choice.choose('model') is None
+
+
+@relay_rig.scenario
+async def test_a_connection_that_has_ended_is_opened_anew(rig):
+    address = address_book.PeerAddress(_PEER_HOST, 80)
+    links = dispatch_links.DispatchLinks(rig.dialer)
+    rig.nursery.start_soon(links.run)
+    rig.add_server('model', 1, _stream_backend([]))
+    rig.dialer.backend_by_host[_PEER_HOST] = exchange_server.ExchangeServer(
+        None, 0.5, rig.clock, rig.dispatcher
+    ).serve_connection
+    await testing.wait_all_tasks_blocked()
+    for _ in range(2):
+        answer = await links.ask(address, _CALL, 0.2)
+        assert answer.is_judged
+        await trio.sleep(1.0)
+    assert rig.dialer.connected_hosts.count(_PEER_HOST) == 2
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -9,6 +9,8 @@
 from foxtailrelay_node.internal.relay.catalogue import route
 from foxtailrelay_node.internal.relay.decide import quota
 from foxtailrelay_node.internal.relay.decide import repeat_budget
+from foxtailrelay_node.internal.relay.dispatch import dispatcher
+from foxtailrelay_node.internal.relay.dispatch import dispatcher_choice
 from foxtailrelay_node.internal.relay.duties import lease_keeper
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.duties import usage_reporter
@@ -23,6 +25,7 @@
 import pytest
 
 from cover.relay import test_clocks as clocks
+from cover.relay import test_dispatch as dispatches
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
 from cover.relay import test_news as newses
@@ -144,6 +147,28 @@
         _set(quota.Quota, 'give_back', _always(None)),
         promises.test_a_refused_request_counts_nothing_against_the_limit,
     ),
+    'entries of the dispatcher never expire': (
+        _set(dispatcher, '_LONGEST_ENTRY_S', math.inf),
+        dispatches.test_requests_that_nobody_ends_do_not_count_for_ever,
+    ),
+    'a dispatcher that does not answer is asked again': (
+        _set(dispatcher_choice.DispatcherChoice, 'suspect', _always(None)),
+        dispatches.test_a_silent_dispatcher_costs_a_fifth_of_a_second_once,
+    ),
+    'weak nodes dispatch': (
+        _set(dispatcher_choice, '_STRONG_PART', 0.0),
+        dispatches.test_all_nodes_choose_the_same_strong_node,
+    ),
+    'the dispatcher is followed without a look at the own list': (
+        _set(
+            server_list.ServerList,
+            'find',
+            lambda self, name: next(
+                iter(self._server_by_id.values())
+            )._replace(id=name, host='10.0.0.99'),
+        ),
+        dispatches.test_a_server_that_only_the_dispatcher_lists_is_not_used,
+    ),
     'a lapse counts as a removal': (
         _set(server_list, 'LAPSE_KEEP_S', -1.0),
         lists.test_an_entry_that_lapses_while_the_store_is_away_is_kept,
