Hold suddenly large organisations to their limit in large clusters

With the mean rate of peers, all nodes let pass what was left at the same time, a second before they heard of each other. Ruled out: the node's own rate for all, as before, which refuses what is below the limit.

--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/model_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/model_placer.py
@@ -24,6 +24,9 @@
 # Cost of each request that runs there already, in seconds: it slows all
 # streams of the engine.
 _CROWDING_S = 0.002
+# Cost of an engine in another data centre, in seconds: bytes between data
+# centres are dear, and a round trip takes a little longer.
+_OTHER_ZONE_S = 0.004
 
 
 class Policy(typing.NamedTuple):
@@ -171,6 +174,8 @@
         cost_s = estimate.first_event_s
         cost_s += _FAILURE_COST_S * estimate.view.failure_share
         cost_s += _CROWDING_S * estimate.view.running / estimate.view.speed
+        if estimate.view.server.zone != demand.zone:
+            cost_s += _OTHER_ZONE_S
         cost_s += (
             self._policy.reread_weight
             * estimate.uncached_tokens
--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
@@ -20,6 +20,12 @@
 # the mean of those that were heard of within this time is taken, in seconds.
 _MANY_PEERS = 8
 _FRESH_S = 1.5
+# Spending of this many slots may not be in the peers' views of a node yet.  In
+# them each of many nodes may spend this multiple of its share of what is left,
+# with this part of the tolerance, as callers are never spread evenly.
+_UNSEEN_SLOTS = 2
+_UNSEEN_TOLERANCE_PART = 0.75
+_SHARE_FACTOR = 1.2
 # Parts of the window in which the limit holds as well, so that what is
 # allowed does not come all at once when an old burst leaves the window.
 _WINDOW_PARTS = (1.0, 0.5, 0.25)
@@ -90,6 +96,7 @@
     ) -> None:
         self._window_s = window_s
         self._tolerance = _TOLERANCE_PART * tolerance
+        self._unseen_tolerance = _UNSEEN_TOLERANCE_PART * tolerance
         self._started_s = started_s
         self._own_by_name: dict[str, sliding_count.SlidingCount] = {}
         self._peers_by_name: dict[str, dict[str, _Spending]] = {}
@@ -118,12 +125,35 @@
             # Half of the request counts: refusing below the limit and
             # passing beyond it are then about equally rare.
             over = spent + units / 2 - limit - self._tolerance
+            if over <= 0 and len(spendings) > _MANY_PEERS:
+                over = self._over_share(spendings, limit, window_s, now_s)
             if over > 0:
                 wait_s = min(self._window_s, over / holder.rate_per_s)
                 return OverLimit(spent, limit, max(SLOT_S, wait_s))
         self._own(holder.name).add(units, now_s)
         return Allowed(units)
 
+    def _over_share(
+        self,
+        spendings: list[_Spending],
+        limit: float,
+        window_s: float,
+        now_s: float,
+    ) -> float:
+        """Return by how much this node is beyond its share of what is left.
+
+        While reports travel, each of many nodes may spend what is left;
+        when an organisation suddenly asks for many times its limit, all do.
+        A node that has spent nothing lately is never beyond its share.
+        """
+        own = sum(spendings[0].slots[:_UNSEEN_SLOTS])
+        told = sum(
+            s._replace(rate_per_s=0.0).within(window_s, now_s)
+            for s in spendings
+        )
+        left = max(0.0, limit + self._unseen_tolerance - told)
+        return own - _SHARE_FACTOR * left / len(spendings)
+
     def give_back(
         self, holder: organisation.Organisation, units: int, now_s: float
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -21,6 +21,14 @@
 # engines take.
 _LONGEST_ENTRY_S = 4.0
 _LONGEST_TOKEN_S = 0.03
+# Without a refusal for this long an overload is over, in seconds.
+_CALM_S = 1.0
+# A refused caller is told to come back after this part of the time that the
+# overload has lasted, within these bounds, in seconds: engines that replace
+# lost ones take seconds to boot, and who comes back too soon is refused again.
+_LASTED_PART = 0.7
+_SOONEST_RETURN_S = 0.3
+_LATEST_RETURN_S = 3.0
 # Answers are not taken to be faster than this when speeds are learned, in
 # seconds.
 _SHORTEST_ANSWER_S = 0.002
@@ -38,6 +46,13 @@
     has_begun: bool
 
 
+class _Overload(typing.NamedTuple):
+    """When a service's first and last requests were refused."""
+
+    since_s: float
+    last_s: float
+
+
 class Dispatcher:
     """Knows all requests that it has placed, and how each went on.
 
@@ -69,6 +84,7 @@
         self._loads = load_book.LoadBook(clock)
         self._placer = model_placer.ModelPlacer(model_placer.FOR_ALL)
         self._entry_by_booking: dict[int, _Entry] = {}
+        self._overload_by_service: dict[str, _Overload] = {}
 
     def answer(self, call: messages.PlaceCall) -> messages.PlaceAnswer:
         """Choose a server for a request, and count it there."""
@@ -91,7 +107,7 @@
         ]
         result = self._placer.place(_demand(call, parts), views)
         if isinstance(result, placing.NotPlaced):
-            return _refusal(result)
+            return self._refusal(call.service, result)
         self._enter(call, parts, result)
         return _acceptance(result)
 
@@ -142,6 +158,26 @@
             False,
         )
 
+    def _refusal(
+        self, service: str, result: placing.NotPlaced
+    ) -> messages.PlaceAnswer:
+        """Refuse a request, and say when to come back."""
+        if not result.has_servers:
+            return NOT_JUDGED
+        now_s = self._clock.boot_s()
+        overload = self._overload_by_service.get(service)
+        if overload is None or now_s - overload.last_s > _CALM_S:
+            overload = _Overload(now_s, now_s)
+        self._overload_by_service[service] = overload._replace(last_s=now_s)
+        lasted_s = now_s - overload.since_s
+        return_s = min(_LATEST_RETURN_S, _LASTED_PART * lasted_s)
+        return_s = max(_SOONEST_RETURN_S, result.retry_after_s, return_s)
+        return NOT_JUDGED._replace(
+            why=result.why,
+            retry_after_ms=int(return_s * 1000),
+            is_judged=True,
+        )
+
     def _begin(self, booking: int, entry: _Entry) -> None:
         if not entry.has_begun:
             self._loads.note_begun(entry.server, entry.uncached_tokens)
@@ -172,16 +208,6 @@
     )
 
 
-def _refusal(result: placing.NotPlaced) -> messages.PlaceAnswer:
-    if not result.has_servers:
-        return NOT_JUDGED
-    return NOT_JUDGED._replace(
-        why=result.why,
-        retry_after_ms=int(result.retry_after_s * 1000),
-        is_judged=True,
-    )
-
-
 def _acceptance(result: placing.Placed) -> messages.PlaceAnswer:
     view = result.view
     return messages.PlaceAnswer(
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_choice.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_choice.py
@@ -8,9 +8,11 @@
 # Only nodes whose processors carry at least this part of the strongest one's
 # load dispatch.
 _STRONG_PART = 0.5
-# A node that did not answer is not asked for this long, in seconds; about as
-# long as it takes to be missed by all others.
+# A node that did not answer twice in a row is not asked for this long, in
+# seconds; about as long as it takes to be missed by all others.  Once may be
+# a busy moment, and another dispatcher knows less.
 _SUSPECT_S = 2.0
+_MOST_SILENCES = 2
 
 
 class DispatcherChoice:
@@ -39,6 +41,7 @@
         self._table = table
         self._clock = clock
         self._suspect_until_s: dict[str, float] = {}
+        self._silences_by_start: dict[str, int] = {}
 
     def choose(self, service: str) -> peer_table.PeerReport | None:
         """Return the dispatcher of a service; None if it is this node."""
@@ -60,12 +63,23 @@
                 best, best_weight = peer, weight
         return best
 
-    def suspect(self, peer: peer_table.PeerReport) -> None:
-        """Do not ask a node for a while that has not answered."""
+    def note_answer(self, peer: peer_table.PeerReport) -> None:
+        """Note that a dispatcher has answered."""
+        self._silences_by_start.pop(peer.start_id, None)
+
+    def note_silence(self, peer: peer_table.PeerReport) -> None:
+        """Note that a dispatcher has not answered."""
+        start = peer.start_id
+        silences = self._silences_by_start.get(start, 0) + 1
+        self._silences_by_start[start] = silences
+        if silences < _MOST_SILENCES:
+            return
         now_s = self._clock.boot_s()
         self._suspect_until_s = {
-            start: until_s
-            for start, until_s in self._suspect_until_s.items()
+            other: until_s
+            for other, until_s in self._suspect_until_s.items()
             if until_s > now_s
         }
-        self._suspect_until_s[peer.start_id] = now_s + _SUSPECT_S
+        self._suspect_until_s[start] = now_s + _SUSPECT_S
+        # One more silence is enough when it is asked again.
+        self._silences_by_start[start] = _MOST_SILENCES - 1
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/placements.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/placements.py
@@ -132,6 +132,7 @@
             booking.note_ended(messages.PlaceEvent.LEFT)
             self._give_up(job, peer, answer, asked_at_s)
             return None, ''
+        self._choice.note_answer(peer)
         return self._result(answer, booking), peer.copy.node_id
 
     def _give_up(
@@ -141,7 +142,7 @@
         reason: str,
         asked_at_s: float,
     ) -> None:
-        self._choice.suspect(peer)
+        self._choice.note_silence(peer)
         now_s = self._clock.boot_s()
         _LOG.info(
             'dispatcher-silent',
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
@@ -37,6 +37,9 @@
 _FIRST_PART = 0.6
 # Lasting engines are counted for this long after a first start, in seconds.
 _FIRST_COUNT_S = 40.0
+# The list of servers fills within this time of a first start, in seconds;
+# lasting engines that leave before are never listed, nor counted.
+_FIRST_LIST_S = 3.5
 
 _OrderKey = tuple[str, str, bool]
 
@@ -196,6 +199,13 @@
         need: engine_plan.Need,
         boot_s: float,
     ) -> bool:
+        up_s = self._clock.boot_s() - self._started_s
+        if (
+            need.is_first_start
+            and not order.is_reclaimable
+            and up_s < _FIRST_LIST_S
+        ):
+            return False
         given = self._given_by_key.get(_key(order))
         if given is None:
             # Lasting engines that an earlier holder ordered may be booting.
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -28,7 +28,11 @@
 # allowed, and peers pass that on; the others do so when it has not come.
 _PROVERS = 3
 _PROVER_PARTS = (0.4, 0.55)
-_OTHER_PARTS = (0.85, 1.0)
+_OTHER_PARTS = (0.7, 0.8)
+# A read that is not answered within this time is given up for another one, in
+# seconds: connections go silent, and new ones work.  Twice what the store
+# takes when it is slow.
+_FIRST_TRY_S = 0.5
 # Nodes of the first ranks hear of changes at once; the others hear of them
 # from peers, well within the time in which a change must be in force.
 _WATCHERS = 6
@@ -133,12 +137,20 @@
                 continue
             # A long poll may hang on a silent connection; these reads tell
             # all the same that the store is back.
-            if await self._read(0.0):
+            if await self._read_twice():
                 # Nodes that prove at different times prove for each other.
                 part = random.random()
             else:
                 await trio.sleep(_LONGEST_PAUSE_S)
 
+    async def _read_twice(self) -> bool:
+        """Read without waiting, once more if there is no answer soon."""
+        with trio.move_on_after(_FIRST_TRY_S) as scope:
+            is_answered = await self._read(0.0)
+        if scope.cancelled_caught:
+            return await self._read(0.0)
+        return is_answered
+
     def _limit_s(self, part: float) -> float:
         """Return the age at which this node proves the copy itself."""
         parts = _PROVER_PARTS if self.rank < _PROVERS else _OTHER_PARTS
--- a/tests/cover/relay/test_engine_orderer.py
+++ b/tests/cover/relay/test_engine_orderer.py
@@ -37,9 +37,12 @@
     def __init__(self):
         self.orders = []
         self.is_dry = False
+        self.spot_by_zone = {}
 
     async def order_engines(self, fence, order):
         self.orders.append(order)
+        if order.is_reclaimable:
+            self.spot_by_zone[order.zone] = order.count
         if order.is_reclaimable and self.is_dry:
             return duty_platform.NoneAvailable()
         return duty_platform.Accepted()
@@ -149,6 +152,20 @@
     assert sum(last.values()) == 24
 
 
+def test_a_first_start_counts_the_operators_engines_before_they_go():
+    rig = _Rig(is_first_start=True)
+    orders = []
+    for index in range(6):
+        for zone in _ZONES:
+            rig.list_engine(f'{zone}{index}', zone, False)
+        orders += rig.play(0.5)
+    assert all(order.is_reclaimable for order in orders)
+    orders = rig.play(2.0)
+    assert {o.zone for o in orders if not o.is_reclaimable} == set(_ZONES)
+    assert all(o.count == 0 for o in orders if not o.is_reclaimable)
+    assert sum(rig.platform.spot_by_zone.values()) == 8
+
+
 def test_a_load_beyond_the_first_engines_is_answered_before_it_is_known():
     rig = _Rig(is_first_start=True)
     rig.play(10.0)
--- a/tests/cover/relay/test_topic_follower.py
+++ b/tests/cover/relay/test_topic_follower.py
@@ -167,3 +167,43 @@
     store.read_changes = answer
     await trio.sleep(2.5)
     assert follower.view.age_s(clock.boot_s()) <= _PROOF_S + 0.2
+
+
+@_follow
+async def test_reads_that_hang_by_turns_do_not_delay_the_proof(
+    store, listener, follower, clock
+):
+    """Connections that have gone silent, beside new ones that work."""
+    follower.rank = 99
+    answer = store.read_changes
+    calls = 0
+
+    async def by_turns(topic, offset, wait_s):
+        nonlocal calls
+        calls += 1
+        if calls % 2:
+            with trio.move_on_after(wait_s + 1.5):
+                await trio.sleep_forever()
+            return record_source.Unavailable('no answer')
+        return await answer(topic, offset, wait_s)
+
+    store.read_changes = by_turns
+    for _ in range(100):
+        await trio.sleep(0.2)
+        assert follower.view.age_s(clock.boot_s()) <= 1.33 * _PROOF_S
+
+
+@_follow
+async def test_few_nodes_watch_and_the_others_hear_of_it_in_time(
+    store, listener, follower, clock
+):
+    await trio.sleep(10)
+    follower.rank = 99
+    await trio.sleep(10)
+    before = store.calls
+    store.put(b'1')
+    await trio.sleep(0.01)
+    assert listener.values == [b'0']
+    await trio.sleep(_PROOF_S)
+    assert listener.values == [b'0', b'1']
+    assert store.calls - before <= 2
