--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
@@ -19,7 +19,8 @@
     """Reads and appends records; every append names the end it expects.
 
     A record is a lease of its holder, or the report of a window by the
-    holder of the lease.  As appends succeed only at the expected end, nobody
+    holder of the lease, or what it knows of a window while it waits for nodes
+    that are silent.  As appends succeed only at the expected end, nobody
     appends after a record that it has not seen.
 
     Parameters
@@ -42,6 +43,7 @@
         clock: clocks.Clock,
     ) -> None:
         self.report_by_window: dict[int, dict[str, int]] = {}
+        self.interim_by_window: dict[int, dict[str, int]] = {}
         self.end = 0
         self._topic = topic
         self._source = source
@@ -98,6 +100,18 @@
             {'report': window, 'by': holder, 'counts': counts}
         )
 
+    async def append_interim(
+        self, holder: str, window: int, counts: dict[str, int]
+    ) -> (
+        record_source.Appended
+        | record_source.EndMoved
+        | (record_source.Unavailable)
+    ):
+        """Append what is known of a window, should all nodes be lost."""
+        return await self._append(
+            {'interim': window, 'by': holder, 'counts': counts}
+        )
+
     async def _append(self, content: dict[str, typing.Any]):
         data = json.dumps(content, sort_keys=True).encode()
         result = await self._source.append_at(self._topic, self.end, data)
@@ -113,7 +127,11 @@
             if 'lease' in content:
                 self._take_lease(offset, str(content['lease']))
             elif 'report' in content:
-                self._take_report(content)
+                window = int(content['report'])
+                _remember(self.report_by_window, window, content)
+            elif 'interim' in content:
+                window = int(content['interim'])
+                _remember(self.interim_by_window, window, content)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             _LOG.error(
                 'duty-record-unreadable',
@@ -126,9 +144,14 @@
             self._term = offset
         self._view.note(messages.LeaseMark(offset, self._term, holder))
 
-    def _take_report(self, content: dict[str, typing.Any]) -> None:
-        window = int(content['report'])
-        counts = {str(k): int(v) for k, v in content['counts'].items()}
-        self.report_by_window.setdefault(window, counts)
-        while len(self.report_by_window) > _REPORTS_KEPT:
-            del self.report_by_window[min(self.report_by_window)]
+
+def _remember(
+    counts_by_window: dict[int, dict[str, int]],
+    window: int,
+    content: dict[str, typing.Any],
+) -> None:
+    """Remember the first counts of a window, and the last windows."""
+    counts = {str(k): int(v) for k, v in content['counts'].items()}
+    counts_by_window.setdefault(window, counts)
+    while len(counts_by_window) > _REPORTS_KEPT:
+        del counts_by_window[min(counts_by_window)]
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/usage_reporter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/usage_reporter.py
@@ -1,5 +1,7 @@
 """Reports usage once for each window."""
 
+import collections
+
 import logbook
 
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -24,7 +26,9 @@
     """Reports the windows that have ended, in order.
 
     A report is put on the log before it is first sent, so that whoever
-    holds the lease next repeats it exactly.
+    holds the lease next repeats it exactly.  While it waits for nodes that
+    are silent, what the others told is kept there too: a successor reports
+    that if all nodes are lost meanwhile.
 
     Parameters
     ----------
@@ -76,9 +80,11 @@
         present = self._usage.window_of(now_s)
         oldest = self._usage.window_of(now_s - self._window_s - self._due_s)
         self._confirmed = {w for w in self._confirmed if w >= oldest}
-        for window in range(max(oldest, self._first_window), present):
-            if window in self._confirmed:
-                continue
+        kept = self._log.report_by_window.keys()
+        kept |= self._log.interim_by_window.keys()
+        windows = {w for w in kept if oldest <= w < present}
+        windows.update(range(max(oldest, self._first_window), present))
+        for window in sorted(windows - self._confirmed):
             if not await self._report(window):
                 return
 
@@ -87,8 +93,9 @@
         counts = self._log.report_by_window.get(window)
         if counts is None:
             if not self._is_settled(window):
+                await self._keep_interim(window)
                 return False
-            counts = self._usage.totals(window)
+            counts = self._counts(window)
             if not await self._put_on_log(window, counts):
                 return False
         fence = self._keeper.fence()
@@ -113,6 +120,37 @@
                 self._keeper.give_up('a later holder has reported usage')
         return False
 
+    def _counts(self, window: int) -> dict[str, int]:
+        """Return what was told of a window, by nodes that are gone too."""
+        counts = collections.Counter(self._usage.totals(window))
+        counts |= collections.Counter(
+            self._log.interim_by_window.get(window, {})
+        )
+        return dict(counts)
+
+    async def _keep_interim(self, window: int) -> None:
+        """Keep what is known of a window that some node has not told."""
+        fence = self._keeper.fence()
+        counts = self._usage.totals(window)
+        if (
+            fence is None
+            or not counts
+            or self._since_end_s(window) < _SETTLE_S
+            or window in self._log.interim_by_window
+        ):
+            return
+        result = await self._log.append_interim(fence.holder, window, counts)
+        _LOG.info(
+            'usage-kept',
+            extra={
+                'window': window,
+                'total': sum(counts.values()),
+                'outcome': type(result).__name__.lower(),
+            },
+        )
+        if not isinstance(result, record_source.Appended):
+            await self._log.read()
+
     async def _put_on_log(self, window: int, counts: dict[str, int]) -> bool:
         fence = self._keeper.fence()
         if fence is None:
@@ -133,7 +171,7 @@
 
     def _is_settled(self, window: int) -> bool:
         """Whether all nodes that are known have told their counts."""
-        since_end_s = self._time.now_s() - (window + 1) * self._window_s
+        since_end_s = self._since_end_s(window)
         if since_end_s < _SETTLE_S:
             return False
         if since_end_s >= self._due_s - _MARGIN_S:
@@ -142,3 +180,6 @@
         return all(
             peer.made_at_s >= settled_at_s for peer in self._table.known()
         )
+
+    def _since_end_s(self, window: int) -> float:
+        return self._time.now_s() - (window + 1) * self._window_s
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,7 +46,7 @@
             self._kill, self._kill, self._pause, self._stop, self._hang_up,
             self._store_fault, self._store_link, self._engine_link,
             self._crashing_engine, self._drain, self._configure,
-            self._compact,
+            self._compact, self._step_clock,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -157,6 +157,14 @@
         self._note('new configuration')
         self._world.configure()
 
+    async def _step_clock(self, nursery) -> None:
+        host = self._host()
+        offset_s = self._rng.uniform(-40.0, 40.0)
+        self._note(f'clock of {host} jumps by {offset_s:.1f} s')
+        self._world.set_clock_off(host, offset_s)
+        await trio.sleep(self._rng.uniform(0.5, 5.0))
+        self._world.set_clock_off(host, 0.0)
+
     async def _compact(self, nursery) -> None:
         self._note('store forgets its history')
         for topic in ('keyed.op', 'keyed.servers'):
--- a/soak/world.py
+++ b/soak/world.py
@@ -131,6 +131,13 @@
         )
         log.close()
 
+    def set_clock_off(self, host: str, offset_s: float) -> None:
+        """Set a node's time of day off."""
+        self._clock_path(host).write_text(str(offset_s))
+
+    def _clock_path(self, host: str) -> pathlib.Path:
+        return self._folder / f'{host}.clock'
+
     def signal_node(self, host: str, number: signal.Signals) -> None:
         """Signal a node's process if it still runs."""
         process = self.process_by_host[host]
@@ -169,6 +176,8 @@
                 'duties': ['usage_report'],
             },
         }
+        settings['clock-offset-file'] = str(self._clock_path(host))
+        self.set_clock_off(host, 0.0)
         path = self._folder / f'{host}.yaml'
         path.write_text(yaml.dump(settings))
 
--- a/tests/cover/relay/test_clocks.py
+++ b/tests/cover/relay/test_clocks.py
@@ -1,5 +1,6 @@
 """The time of day may jump; ages and deadlines do not."""
 
+from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import true_time
 
 from common import boot_clock
@@ -44,3 +45,18 @@
     for node in ('b', 'c'):
         time.note_peer(node, clock.wall_s())
     assert abs(time.now_s() - clock.wall_s()) < 0.01
+
+
+def test_a_clock_that_is_set_off_shows_it_and_goes_back(tmp_path):
+    path = tmp_path / 'offset'
+    path.write_text('25')
+    stepped = clocks.SteppedClock(str(path))
+    system = clocks.SystemClock()
+    assert 24 < stepped.wall_s() - system.wall_s() < 26
+    assert abs(stepped.boot_s() - system.boot_s()) < 1
+    path.write_text('nonsense')
+    stepped._read()
+    assert 24 < stepped.wall_s() - system.wall_s() < 26
+    path.write_text('0')
+    stepped._read()
+    assert abs(stepped.wall_s() - system.wall_s()) < 1
--- a/tests/cover/relay/test_usage_reporter.py
+++ b/tests/cover/relay/test_usage_reporter.py
@@ -1,5 +1,6 @@
 """Each window is reported once, or again with the same counts."""
 
+from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import duty_platform
 from foxtailrelay_node.internal.relay.duties import lease_keeper
@@ -37,12 +38,13 @@
             f'{name}/1', name, self.log, view, 3.0, clock
         )
         self.time = true_time.TrueTime(clock)
+        self.table = peer_table.PeerTable(name, clock)
         self.reporter = usage_reporter.UsageReporter(
             self.keeper,
             self.log,
             platform,
             self.usage,
-            peer_table.PeerTable(name, clock),
+            self.table,
             self.time,
             clock,
             5.0,
@@ -114,3 +116,23 @@
     node.run_for(7.5)
     assert len(platform.reports) == 1
     assert node.keeper.fence() is None
+
+
+def test_a_window_survives_the_loss_of_all_nodes_while_one_is_waited_for():
+    clock, platform = boot_clock.HandClock(), _Platform()
+    log = test_lease._Log()
+    node = _Node('n1', log, clock, platform)
+    body = messages.encode_report(
+        messages.NodeReport('a', '10.0.0.2', 80, False, (), (), (), ())
+    )
+    node.table.take(messages.ReportCopy('n2', 1, 1, 0, body))
+    node.run_for(1)
+    window = node.usage.window_of(node.time.now_s())
+    for _ in range(7):
+        node.usage.note_begun('org', node.time.now_s())
+    node.run_for((window + 1) * 5.0 - node.time.now_s() + 3.0)
+    assert window not in [reported for reported, _, _ in platform.reports]
+    successor = _Node('n3', log, clock, platform)
+    successor.run_for(7)
+    counts = {w: c for w, c, _ in platform.reports}
+    assert counts[window] == {'org': 7}
