Let proof by peers end a node's trouble with the store

A node that takes its proofs from peers makes no call of its own after an outage, so it took itself to be in trouble still and each removal for a lapse, kept for 2 s.

Change: a copy proved since the last failure ends the trouble; a call that hung through the return of the store is not a new one.

Figures: two tests fail before.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity
+.PHONY: soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -50,6 +50,14 @@
 bench-overload: $(INSTALLED)
 	$(PYTHON) bench/overload_bench.py
 
+bench-placing: $(INSTALLED)
+	PYTHONPATH=tests $(PYTHON) bench/placing_bench.py
+
+# Processor time of an event: the own interface's path, then the relay's.
+bench-events: $(INSTALLED)
+	$(PYTHON) bench/path_bench.py
+	PYTHONPATH=.:tests:platform/tests $(PYTHON) bench/event_bench.py
+
 # Harms real nodes at random: make soak SEEDS=1-50 AT_ONCE=3 SECONDS=12
 SEEDS := 1-3
 AT_ONCE := 3
--- /dev/null
+++ b/bench/event_bench.py
@@ -0,0 +1,84 @@
+"""Processor time of a relayed event: part of ``make bench-events``.
+
+One relaying node as a process on loopback, among stand-ins, passes streams
+on.  Its processor time is read before and after.
+"""
+
+import pathlib
+import tempfile
+
+import trio
+
+from soak import __main__ as soak_main
+from soak import world as worlds
+
+_CALLERS = 6
+_STREAMS = 10
+_EVENTS = 150
+_EVENT_S = 0.004
+_TICKS_PER_S = 100
+_END = b'\r\n0\r\n\r\n'
+
+
+def _processor_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+async def _call(address: tuple[str, int], name: str) -> int:
+    """Read one stream to its end; return how many events came."""
+    request = (
+        'POST /stream/x HTTP/1.1\r\nHost: h\r\n'
+        f'Request-Id: {name}\r\nAuthorization: Token k1\r\n'
+        'Token-Counts: 50,20\r\nDeadline-Ms: 4000\r\n'
+        'Content-Length: 0\r\nConnection: close\r\n\r\n'
+    )
+    data = b''
+    async with await trio.open_tcp_stream(*address) as stream:
+        await stream.send_all(request.encode())
+        while not data.endswith(_END):
+            part = await stream.receive_some(65536)
+            if not part:
+                break
+            data += part
+    return data.count(b'data: ')
+
+
+async def _measure() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        world = worlds.World(0, pathlib.Path(folder), 1)
+        events = 0
+
+        async def caller(number: int) -> None:
+            nonlocal events
+            address = world.address(world.hosts[0], 'front')
+            for index in range(_STREAMS):
+                count = await _call(address, f'b{number}-{index}')
+                events += count
+
+        try:
+            async with trio.open_nursery() as nursery:
+                await world.start(nursery)
+                for engine in world.engine_by_id.values():
+                    engine.events, engine.event_s = _EVENTS, _EVENT_S
+                await soak_main.wait_until_ready(world)
+                pid = world.process_by_host[world.hosts[0]].pid
+                before_s = _processor_s(pid)
+                async with trio.open_nursery() as callers:
+                    for number in range(_CALLERS):
+                        callers.start_soon(caller, number)
+                used_s = _processor_s(pid) - before_s
+                nursery.cancel_scope.cancel()
+        finally:
+            world.end()
+    print(
+        f'relay: {events} events in {_CALLERS * _STREAMS} streams, '
+        f'{used_s:.2f} s of processor time, '
+        f'{1000 * used_s / events:.3f} ms an event'
+    )
+
+
+if __name__ == '__main__':
+    trio.run(_measure)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -128,7 +128,7 @@
         if known is None:
             return
         now_s = self._clock.boot_s()
-        since_trouble_s = now_s - self._health.last_failure_s
+        since_trouble_s = now_s - self._health.last_trouble_s
         if not known.is_draining and (
             self._health.is_failing or since_trouble_s < LAPSE_KEEP_S
         ):
@@ -150,7 +150,7 @@
         if not self._lapsed_at_by_id or self._health.is_failing:
             return
         now_s = self._clock.boot_s()
-        back_s = self._health.last_failure_s
+        back_s = self._health.last_trouble_s
         for server_id, lapsed_at_s in list(self._lapsed_at_by_id.items()):
             if now_s - max(back_s, lapsed_at_s) >= LAPSE_KEEP_S:
                 del self._lapsed_at_by_id[server_id]
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -133,6 +133,7 @@
             await trio.sleep(_CHECK_INTERVAL_S)
             if not self.view.is_known:
                 continue
+            self._health.note_proof(self.topic, self.view.as_of_s)
             if self.view.age_s(self._clock.boot_s()) < self._limit_s(part):
                 continue
             # A long poll may hang on a silent connection; these reads tell
@@ -168,7 +169,7 @@
             )
         match result:
             case record_source.Unavailable(reason=reason):
-                self._health.note_failure(self.topic, reason)
+                self._health.note_failure(self.topic, reason, asked_at_s)
                 return False
             case record_source.Expired(first=first):
                 _LOG.info(
@@ -181,7 +182,7 @@
                 self.take_newest(result, asked_at_s)
             case record_source.Changes():
                 self.take_changes(result, asked_at_s)
-        self._health.note_success(self.topic)
+        self._health.note_success(self.topic, asked_at_s)
         return True
 
     def take_newest(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,7 +72,7 @@
                 trio.current_time() + seconds + _LONGEST_EXTRA_S
             )
             await world.start(nursery)
-            await _wait_until_ready(world)
+            await wait_until_ready(world)
             for caller in people:
                 nursery.start_soon(caller.run)
             await faults.run(nursery, seconds)
@@ -88,7 +88,8 @@
     return Outcome(seed, len(told), served, broken, faults.history)
 
 
-async def _wait_until_ready(world: worlds.World) -> None:
+async def wait_until_ready(world: worlds.World) -> None:
+    """Wait until all nodes take callers."""
     with trio.fail_after(_READY_S):
         for host in world.hosts:
             while not await _is_ready(world, host):
--- a/tests/common/engine_fleet.py
+++ b/tests/common/engine_fleet.py
@@ -14,6 +14,7 @@
 from foxtailrelay_node.internal.relay.catalogue import service as services
 from foxtailrelay_node.internal.relay.decide import demand as demands
 from foxtailrelay_node.internal.relay.decide import model_placer
+from foxtailrelay_node.internal.relay.decide import placer as placers
 from foxtailrelay_node.internal.relay.decide import placing
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 
@@ -187,6 +188,8 @@
         and tells the others once a second.
     clump : int
         Largest number of requests that come at the same moment.
+    lone_placer : Placer, optional
+        How nodes that place by themselves choose.
     """
 
     def __init__(
@@ -196,6 +199,7 @@
         dispatches: bool,
         clump: int = 3,
         seed: int = 1,
+        lone_placer: placers.Placer | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.clock = boot_clock.HandClock()
@@ -204,7 +208,7 @@
         ]
         self.engines = {engine.server.id: engine for engine in engines}
         self.asked: list[Asked] = []
-        self._placer = model_placer.ModelPlacer(model_placer.ALONE)
+        self._placer = lone_placer or model_placer.ModelPlacer()
         self._dispatcher = None
         if dispatches:
             slots = engines[0].server.slots
--- a/tests/cover/relay/test_overload.py
+++ b/tests/cover/relay/test_overload.py
@@ -15,21 +15,29 @@
 _LATE_PART = 0.1
 
 
-@functools.cache
-def _play(engine_count, share, node_count, dispatches, seconds=6):
-    engines = [
+def engines(count):
+    """Return engines of the three speeds."""
+    return [
         engine_fleet.Engine(f'e{i}', _SPEEDS[i % len(_SPEEDS)], _SLOTS)
-        for i in range(engine_count)
+        for i in range(count)
     ]
-    fleet = engine_fleet.Fleet(node_count, engines, dispatches)
-    kinds = [
+
+
+def kinds(share):
+    """Return the kinds of request at a share of their rates."""
+    return [
         kind._replace(per_s=kind.per_s * share)
         for kind in (_REVIEWS, _QUOTES, _NOTES)
     ]
-    return fleet.play(kinds, seconds)
 
 
-def _worth(asked):
+@functools.cache
+def _play(engine_count, share, node_count, dispatches, seconds=6):
+    fleet = engine_fleet.Fleet(node_count, engines(engine_count), dispatches)
+    return fleet.play(kinds(share), seconds)
+
+
+def worth(asked):
     """Return the worth of what callers got, of what they asked for."""
     total = sum(_WORTH[a.kind.name] for a in asked)
     got = sum(
@@ -61,8 +69,8 @@
 def test_few_nodes_gain_by_a_dispatcher_too():
     alone = _play(10, 0.28, 9, dispatches=False)
     together = _play(10, 0.28, 9, dispatches=True)
-    assert _worth(together) >= 0.95
-    assert _worth(together) > _worth(alone)
+    assert worth(together) >= 0.95
+    assert worth(together) > worth(alone)
 
 
 def test_too_few_engines_serve_the_urgent_and_refuse_the_rest_at_once():
@@ -72,7 +80,7 @@
         assert _refused(asked, 'quote') <= 0.05
         assert _refused(asked, 'note') >= _refused(asked, 'review')
         queued = _play(engine_count, share, node_count, dispatches=False)
-        assert _worth(asked) >= 1.5 * _worth(queued)
+        assert worth(asked) >= 1.5 * worth(queued)
 
 
 def test_what_is_not_refused_under_overload_is_mostly_in_time():
--- a/tests/cover/relay/test_server_list.py
+++ b/tests/cover/relay/test_server_list.py
@@ -42,12 +42,12 @@
 def test_an_entry_that_lapses_while_the_store_is_away_is_kept():
     listed = _Listed()
     listed.take('s1', relay_rig.server('plain', 1))
-    listed.health.note_failure('topic', 'down')
+    listed.health.note_failure('topic', 'down', listed.clock.now_s)
     listed.take('s1', None)
     listed.clock.now_s += 30
     assert listed.ids() == ['s1']
-    listed.health.note_failure('topic', 'still down')
-    listed.health.note_success('topic')
+    listed.health.note_failure('topic', 'still down', listed.clock.now_s)
+    listed.health.note_success('topic', listed.clock.now_s)
     listed.clock.now_s += 1.9
     assert listed.ids() == ['s1']
     listed.clock.now_s += 0.2
@@ -57,9 +57,9 @@
 def test_an_entry_that_comes_back_after_a_lapse_stays():
     listed = _Listed()
     listed.take('s1', relay_rig.server('plain', 1))
-    listed.health.note_failure('topic', 'down')
+    listed.health.note_failure('topic', 'down', listed.clock.now_s)
     listed.take('s1', None)
-    listed.health.note_success('topic')
+    listed.health.note_success('topic', listed.clock.now_s)
     listed.take('s1', relay_rig.server('plain', 1))
     listed.clock.now_s += 30
     assert listed.ids() == ['s1']
@@ -68,7 +68,7 @@
 def test_a_server_that_announced_to_leave_does_not_lapse_back():
     listed = _Listed()
     listed.take('s1', relay_rig.server('plain', 1, state='draining'))
-    listed.health.note_failure('topic', 'down')
+    listed.health.note_failure('topic', 'down', listed.clock.now_s)
     listed.take('s1', None)
     assert listed.ids() == []
 
--- a/tests/cover/relay/test_topic_follower.py
+++ b/tests/cover/relay/test_topic_follower.py
@@ -207,3 +207,30 @@
     await trio.sleep(_PROOF_S)
     assert listener.values == [b'0', b'1']
     assert store.calls - before <= 2
+
+
+@_follow
+async def test_a_copy_proved_by_peers_ends_the_stores_trouble(
+    store, listener, follower, clock
+):
+    follower.rank = 99
+    store.is_down = True
+    await trio.sleep(5)
+    assert follower._health.is_failing
+    store.is_down = False
+    for _ in range(10):
+        await trio.sleep(0.1)
+        follower.view.as_of_s = clock.boot_s()
+    assert not follower._health.is_failing
+
+
+def test_a_call_that_hung_through_the_stores_return_is_no_new_trouble():
+    clock = boot_clock.HandClock()
+    health = store_health.StoreHealth(clock)
+    asked_at_s = clock.now_s
+    clock.now_s += 5
+    health.note_success('topic', clock.now_s)
+    clock.now_s += 4
+    health.note_failure('topic', 'no answer', asked_at_s)
+    assert not health.is_failing
+    assert health.last_trouble_s < asked_at_s
