--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -125,6 +125,7 @@
             self.dispatcher,
             known.servers,
             known.loads,
+            known.state,
             metrics,
             clock,
             settings.zone,
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/placements.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/placements.py
@@ -20,6 +20,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatch_links
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_choice
+from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -51,6 +52,8 @@
         Backend servers that may be used.
     loads : LoadBook
         Their load as far as this node knows.
+    state : NodeState
+        The configuration in force, for the log.
     metrics : RelayMetrics
         Counts.
     clock : Clock
@@ -66,6 +69,7 @@
         own: dispatcher.Dispatcher,
         servers: server_list.ServerList,
         loads: load_book.LoadBook,
+        state: node_state.NodeState,
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
         zone: str,
@@ -75,6 +79,7 @@
         self._own = own
         self._servers = servers
         self._loads = loads
+        self._state = state
         self._metrics = metrics
         self._clock = clock
         self._zone = zone
@@ -227,13 +232,13 @@
             is_repeat,
         )
 
-    @staticmethod
-    def _log(job: jobs.Job, result: _Result, by: str) -> None:
+    def _log(self, job: jobs.Job, result: _Result, by: str) -> None:
         fields: dict[str, typing.Any] = {
             'request': job.request.request_id,
             'service': job.service,
             'by': by,
             'version': job.access.table.version,
+            'version_age_s': round(self._state.age_s(), 3),
             'why': result.why,
         }
         if isinstance(result, placing.Placed):
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -163,6 +163,7 @@
                         self.dispatcher,
                         self.servers,
                         self.loads,
+                        self.state,
                         metrics,
                         self.clock,
                         'a',
