--- a/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/decide/quota.py
@@ -25,8 +25,8 @@
 # seconds; this part of the tolerance covers it.
 _UNSEEN_S = 1.5
 _UNSEEN_TOLERANCE_PART = 0.6
-# A node may spend this multiple of its share of what is left without a draw, as
-# callers are never spread evenly.
+# A node may spend this multiple of its share of what is left without a draw,
+# as callers are never spread evenly.
 _SHARE_FACTOR = 1.2
 # With this many requests of an organisation in as many slots, or more, their
 # number tells its present rate.
