Move the dispatcher's messages into a file of their own

Change: PlaceCall, PlaceAnswer, PlaceEvent and PlaceNote stand in place_messages.py; nothing else moves. Conclusion: no change of behaviour.

--- a/packages/core/src/foxtailrelay_core/internal/message_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -8,6 +8,7 @@
 import capnp
 
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import place_messages
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
 _TYPE_BY_FIELD: dict[str, typing.Any] = {
@@ -21,9 +22,9 @@
     'forwardCall': message_types.ForwardCall,
     'forwardAnswer': message_types.ForwardAnswer,
     'exchange': message_types.Exchange,
-    'placeCall': message_types.PlaceCall,
-    'placeAnswer': message_types.PlaceAnswer,
-    'placeNote': message_types.PlaceNote,
+    'placeCall': place_messages.PlaceCall,
+    'placeAnswer': place_messages.PlaceAnswer,
+    'placeNote': place_messages.PlaceNote,
 }
 _LIST_FIELDS = frozenset(
     ('have_starts', 'have_sequences', 'part_ids', 'part_tokens', 'excluded')
@@ -116,6 +117,6 @@
         if name == 'state':
             value = message_types.MemberState(value)
         if name == 'event':
-            value = message_types.PlaceEvent(value)
+            value = place_messages.PlaceEvent(value)
         values[name] = value
     return kind(**values)
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -9,6 +9,7 @@
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import place_messages
 from foxtailrelay_core.internal import report_codec
 from foxtailrelay_core.internal import traffic_count
 
@@ -31,10 +32,10 @@
 MemberState = message_types.MemberState
 Message = message_types.Message
 NodeReport = message_types.NodeReport
-PlaceAnswer = message_types.PlaceAnswer
-PlaceCall = message_types.PlaceCall
-PlaceEvent = message_types.PlaceEvent
-PlaceNote = message_types.PlaceNote
+PlaceAnswer = place_messages.PlaceAnswer
+PlaceCall = place_messages.PlaceCall
+PlaceEvent = place_messages.PlaceEvent
+PlaceNote = place_messages.PlaceNote
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
 ServerLoad = message_types.ServerLoad
