Send nothing to servers that are leaving or ask for a pause

Ruled out: marking the entry as draining, since the next write of the entry would undo it.

Change: notices by id and start of the server, gossiped by the node that received the answer; quiet periods of this node by instance. Both are checked before placing, passed to the dispatcher as excluded, and checked again before sending. Callers are refused at once, with the end of the first pause, while all usable servers ask for one. A pause is no failure in the health record.

--- a/packages/cli/src/foxtailrelay_cli/internal/explanation.py
+++ b/packages/cli/src/foxtailrelay_cli/internal/explanation.py
@@ -9,14 +9,18 @@
 _STATE_EVENTS = frozenset(
     (
         'configuration-in-force', 'store-lost', 'store-regained',
-        'peer-lost', 'stopping', 'started', 'settings-reloaded',
+        'store-restored', 'peer-lost', 'stopping', 'started',
+        'settings-reloaded',
     )
 )  # fmt: skip
 # Older changes of the request's servers are not shown.
 _MAX_SERVER_CHANGE_AGE_S = 10.0
 _SERVER_EVENTS = frozenset(
-    ('server-listed', 'server-removed', 'server-lapsed')
-)
+    (
+        'server-listed', 'server-removed', 'server-lapsed', 'server-leaving',
+        'server-quiet',
+    )
+)  # fmt: skip
 
 
 def explain(
--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -264,6 +264,9 @@
         Load on servers, granted quota, attempts and usage.
     centicores : int
         CPU capacity of the node in hundredths of a core.
+    departures : tuple of (str, int)
+        Id and start time in Unix milliseconds of the backend servers that
+        announced their departure to this node.
     """
 
     zone: str
@@ -275,6 +278,7 @@
     tries: tuple[TryCount, ...]
     usages: tuple[UsageCount, ...]
     centicores: int = 100
+    departures: tuple[tuple[str, int], ...] = ()
 
 
 class ReportCopy(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -147,6 +147,8 @@
   usageOrganisations @11 :List(Text);
   usageNumbers @12 :List(UInt64);
   centicores @13 :UInt16;
+  departureServers @14 :List(Text);
+  departureStarts @15 :List(UInt64);
 }
 
 struct TopicWant {
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -32,6 +32,8 @@
         usageOrganisations=[usage.organisation for usage in usages],
         usageNumbers=_flatten((u.window, u.count) for u in usages),
         centicores=report.centicores,
+        departureServers=[server for server, _ in report.departures],
+        departureStarts=[started_ms for _, started_ms in report.departures],
     ).to_bytes_packed()
 
 
@@ -91,6 +93,9 @@
             )
         ),
         content.centicores,
+        tuple(
+            zip(content.departureServers, content.departureStarts, strict=True)
+        ),
     )
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
@@ -33,6 +33,11 @@
         backend server's own body.
     load : ReportedLoad or None
         Load, if reported.
+    is_leaving : bool
+        Whether the backend server announces that it is leaving.
+    quiet_s : float or None
+        Seconds for which it wants no requests from this node, if it refused
+        the request and named a time.
     """
 
     status: int
@@ -43,6 +48,8 @@
     is_other_instance: bool
     is_encoded: bool
     load: ReportedLoad | None
+    is_leaving: bool = False
+    quiet_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -91,6 +91,7 @@
                 view.usage,
                 view.time,
                 self.lease,
+                view.servers.departures,
             ),
             clock,
             settings.limit_window_s,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -19,6 +19,8 @@
 _CONNECT_TIMEOUT_S = 0.5
 # With less time before its deadline a request is not sent.
 _MIN_REMAINING_S = 0.02
+# Delay before the retry of a request that another server can probably accept.
+_MIN_RETRY_AFTER_S = 0.1
 _EVENT_BY_RESULT = {
     results.Done: messages.PlaceEvent.DONE,
     results.NotRun: messages.PlaceEvent.FAILED,
@@ -113,6 +115,8 @@
             )
             self._record_result(job, placed, progress, result)
             event = _EVENT_BY_RESULT[type(result)]
+            if _is_quiet_request(result):
+                event = messages.PlaceEvent.LEFT
             return result
         finally:
             placed.reservation.record_end(event)
@@ -257,7 +261,8 @@
             case results.Done():
                 self._context.loads.record_success(server)
             case results.NotRun(reason=reason) | results.Broken(reason=reason):
-                self._context.loads.record_failure(server)
+                if not _is_quiet_request(result):
+                    self._context.loads.record_failure(server)
                 fields['reason'] = reason
             case results.ServerFailure(head=head):
                 fields['status'] = head.status
@@ -326,8 +331,15 @@
                 )
             case results.NotRun(reason=reason):
                 if not progress.may_have_run:
+                    quiet_s = self._context.servers.quiet_remaining_s(
+                        job.service
+                    )
                     return errors.Failure(
-                        errors.ErrorKind.NOT_RUN, reason, retry_after_s=0.1
+                        errors.ErrorKind.NOT_RUN,
+                        reason,
+                        retry_after_s=round(
+                            max(_MIN_RETRY_AFTER_S, quiet_s), 2
+                        ),
                     )
                 return errors.Failure(errors.ErrorKind.BACKEND_FAILED, reason)
             case results.Broken(reason=reason):
@@ -335,5 +347,9 @@
         return None
 
 
+def _is_quiet_request(result: results.Result) -> bool:
+    return isinstance(result, results.NotRun) and result.is_quiet_request
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
@@ -123,6 +123,8 @@
         server = self._placed.view.server
         if head.load is not None:
             self._context.loads.record_reported_load(server, head.load)
+        if not head.is_other_instance:
+            self._record_notices(head)
         if head.request_id not in (None, self._job.request.request_id):
             return results.Broken(
                 f'the answer belongs to request {head.request_id}'
@@ -134,7 +136,7 @@
                 reason = (
                     f'the server refused the request with status {head.status}'
                 )
-            return results.NotRun(reason)
+            return results.NotRun(reason, head.quiet_s is not None)
         if head.is_success:
             if not head.is_signed or head.request_id is None:
                 return results.Broken(
@@ -146,6 +148,16 @@
                 return await self._forward_events(head)
         return await self._forward_whole(head)
 
+    def _record_notices(self, head: answer_head.AnswerHead) -> None:
+        """Record what the server announces about itself."""
+        server = self._placed.view.server
+        if head.is_leaving:
+            self._context.servers.departures.record_answer(server)
+        if head.quiet_s is not None:
+            self._context.servers.quiet_periods.record_refusal(
+                server, head.quiet_s
+            )
+
     async def _forward_whole(
         self, head: answer_head.AnswerHead
     ) -> results.Result:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
@@ -12,9 +12,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
-    """The backend server did not run the request and never will."""
+    """The backend server did not run the request and never will.
+
+    Parameters
+    ----------
+    reason : str
+        Cause, for the log and the caller.
+    is_quiet_request : bool
+        Whether the server refused to keep this node away for some time,
+        which does not count as a failure.
+    """
 
     reason: str
+    is_quiet_request: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -6,6 +6,8 @@
 import logbook
 
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import departure_notices
+from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_follower
@@ -42,6 +44,13 @@
         Time of the last store outage.
     clock : Clock
         Clock for the ages of lapsed entries.
+
+    Attributes
+    ----------
+    departures : DepartureNotices
+        Servers that are leaving though their entry may not say so.
+    quiet_periods : QuietPeriods
+        Servers that want no requests from this node for some time.
     """
 
     def __init__(
@@ -53,6 +62,8 @@
         self._decoder = decoder
         self._health = health
         self._clock = clock
+        self.departures = departure_notices.DepartureNotices(clock)
+        self.quiet_periods = quiet_periods.QuietPeriods(clock)
         self._server_by_id: dict[str, backend_server.BackendServer] = {}
         self._lapsed_at_s_by_id: dict[str, float] = {}
 
@@ -69,16 +80,49 @@
         return [
             server
             for server in self._server_by_id.values()
-            if server.service == service and not server.is_draining
+            if server.service == service and not self._is_leaving(server)
         ]
 
+    def withheld_ids(self, service: str) -> set[str]:
+        """Return the ids of listed servers that have declined requests.
+
+        They announced their departure, or asked this node for a quiet
+        period.  A dispatcher may not have been told of either.
+        """
+        return {
+            server.id
+            for server in self._server_by_id.values()
+            if server.service == service
+            and (
+                self.departures.is_leaving(server)
+                or self.quiet_periods.remaining_s(server) > 0
+            )
+        }
+
+    def quiet_remaining_s(self, service: str) -> float:
+        """Return when the first of the usable servers ends its quiet period.
+
+        Returns
+        -------
+        float
+            Seconds from now; 0 if a server accepts requests now or none is
+            usable.
+        """
+        return min(
+            (
+                self.quiet_periods.remaining_s(server)
+                for server in self.usable(service)
+            ),
+            default=0.0,
+        )
+
     def find_usable(
         self, server_id: str
     ) -> backend_server.BackendServer | None:
         """Return the server with an id if it accepts new requests."""
         self._remove_lapsed()
         server = self._server_by_id.get(server_id)
-        return server if server and not server.is_draining else None
+        return server if server and not self._is_leaving(server) else None
 
     def on_demand_ids(self, service: str) -> set[str]:
         """Return the ids of on-demand servers, draining ones included."""
@@ -89,15 +133,19 @@
         }
 
     def is_usable(self, server: backend_server.BackendServer) -> bool:
-        """Whether this server instance is listed and accepts new requests."""
+        """Whether this instance is listed and accepts requests from here."""
         self._remove_lapsed()
         listed = self._server_by_id.get(server.id)
         return (
             listed is not None
             and listed.instance_key == server.instance_key
-            and not listed.is_draining
+            and not self._is_leaving(listed)
+            and self.quiet_periods.remaining_s(listed) == 0
         )
 
+    def _is_leaving(self, server: backend_server.BackendServer) -> bool:
+        return server.is_draining or self.departures.is_leaving(server)
+
     def _handle_record(self, record: topic_store.KeyedRecord) -> None:
         if record.value is None:
             self._remove(record.key)
@@ -139,6 +187,7 @@
             event = 'server-lapsed'
         else:
             del self._server_by_id[server_id]
+            self.departures.forget_unversioned(server_id)
             event = 'server-removed'
         _LOG.info(
             event,
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -94,6 +94,14 @@
         """Choose a server, or return the delay before a retry."""
         service = job.access.table.service_by_name.get(job.service)
         is_model = service is not None and service.model is not None
+        quiet_s = self._servers.quiet_remaining_s(job.service)
+        if quiet_s > 0:
+            result = placement_result.NotPlaced(
+                'all usable servers have asked for a pause', quiet_s, True
+            )
+            self._log_result(job, result, 'self')
+            return result
+        excluded = excluded | self._servers.withheld_ids(job.service)
         result, by = None, 'self'
         if is_model:
             result, by = await self._place_by_dispatcher(
@@ -179,8 +187,9 @@
                 answer.why, answer.retry_after_ms / 1000, True
             )
         server = self._servers.find_usable(answer.server)
-        if server is None:
-            # Listed only at the dispatcher, or draining.
+        if server is None or self._servers.quiet_periods.remaining_s(server):
+            # Listed only at the dispatcher, or leaving; or it refused another
+            # request of this node in the meantime.
             reservation.record_end(messages.PlaceEvent.LEFT)
             return None
         view = server_view.ServerView(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -6,6 +6,7 @@
 from foxtailrelay_core import messages
 import logbook
 
+from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -64,6 +65,7 @@
     usage: usage_counter.UsageCounter
     time: corrected_clock.CorrectedClock
     lease: lease_view.LeaseView
+    departures: departure_notices.DepartureNotices
 
 
 class PendingTopics(typing.NamedTuple):
@@ -139,6 +141,7 @@
             state.budget.build_attempt_counts(now_s, *self.demand()),
             state.usage.build_usages(),
             self.identity.centicores,
+            state.departures.own_notices(),
         )
         self._sequence += 1
         self._built_at_s = now_s
@@ -316,6 +319,9 @@
         )
         state.budget.record_peer_attempt_counts(start_id, peer.report.tries)
         state.usage.merge_peer_usages(start_id, peer.report.usages)
+        state.departures.record_peer_notices(
+            peer.report.departures, peer.copy.node_id
+        )
 
     def _apply_marks(
         self, marks: typing.Iterable[messages.TopicMark], requested_at_s: float
--- a/tests/cover/relay/test_gossip.py
+++ b/tests/cover/relay/test_gossip.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.catalogue import organisation
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -45,6 +46,7 @@
         self.quota = quota.Quota(8.0, 0.0, 0.0)
         self.loads = load_tracker.LoadTracker(clock)
         self.lease = lease_view.LeaseView(clock)
+        self.departures = departure_notices.DepartureNotices(clock)
         self.gossip = gossip_module.Gossip(
             gossip_module.Identity(
                 cluster, name, 'a', f'10.0.0.{incarnation}', 80, incarnation
@@ -57,6 +59,7 @@
                 self.usage,
                 corrected_clock.CorrectedClock(clock),
                 self.lease,
+                self.departures,
             ),
             clock,
             8.0,
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -22,6 +22,9 @@
         (2.0, 'n1', 'configuration-in-force', {'version': 4}),
         (2.5, 'n1', 'server-removed', {'server': 's1'}),
         (2.6, 'n1', 'server-removed', {'server': 's9'}),
+        (2.7, 'n1', 'server-leaving', {'server': 's1', 'by': 'answer'}),
+        (2.8, 'n1', 'server-quiet', {'server': 's1', 'quiet_s': 2.0}),
+        (2.9, 'n1', 'store-restored', {'era': 2, 'before': 1}),
         (3.0, 'n1', 'placed', {'request': 'r1', 'server': 's1'}),
         (3.1, 'n1', 'placed', {'request': 'r2', 'server': 's2'}),
     )
@@ -35,6 +38,9 @@
     assert 'version=4' in joined
     assert 'version=3' not in joined
     assert 'server-removed  server=s1' in joined
+    assert 'server-leaving  server=s1 by=answer' in joined
+    assert 'server-quiet  server=s1 quiet_s=2.0' in joined
+    assert 'store-restored  era=2 before=1' in joined
     assert 's9' not in joined
     assert 'r2' not in joined
     assert joined.index('placed') < joined.index('request-failed')
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -5,6 +5,8 @@
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import http_exchange
+from foxtailrelay_node.internal.relay.backends import departure_notices
+from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.catalogue import route
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -33,6 +35,7 @@
 from cover.relay import test_quota as quotas
 from cover.relay import test_request_guarantees as checks
 from cover.relay import test_server_list as lists
+from cover.relay import test_server_notices as notices
 from cover.relay import test_stream_guarantees as streams
 from cover.relay import test_usage_reporter as reporters
 
@@ -177,6 +180,26 @@
         _set(server_list, 'LAPSED_RETENTION_S', -1.0),
         lists.test_entry_that_lapses_during_a_store_outage_is_kept,
     ),
+    'announced departures are ignored': (
+        _set(departure_notices.DepartureNotices, 'is_leaving', _always(False)),
+        notices.test_no_request_follows_an_answer_that_announces_departure,
+    ),
+    'announced departures are not gossiped': (
+        _set(departure_notices.DepartureNotices, 'own_notices', _always(())),
+        notices.test_peers_receive_a_notice,
+    ),
+    'quiet periods are ignored': (
+        _set(quiet_periods.QuietPeriods, 'remaining_s', _always(0.0)),
+        notices.test_no_request_reaches_a_server_in_its_quiet_period,
+    ),
+    'a dispatcher is not told which engines are quiet': (
+        _set(server_list.ServerList, 'withheld_ids', _always(set())),
+        notices.test_an_engine_in_its_quiet_period_is_not_dispatched_to,
+    ),
+    'a request for a pause counts as a failure': (
+        _set(attempt_runner, '_is_quiet_request', _always(False)),
+        notices.test_a_request_for_a_pause_is_no_failure_of_the_server,
+    ),
     'older copies replace newer ones': (
         _set(keyed_view.KeyedView, 'replace', _replace_always),
         _run_machine(views.TestTopicMachine),
