Follow a store that comes back from an older copy

Nodes compared bare offsets: after a restore a copy followed nothing new, an older configuration could come into force at a node that started then, two holders could use one fencing number, and a window could be reported with other counts. Ruled out: trusting the copy, stopping while the era is new, a store of our own; see docs/design/store-restore.md.

Change: positions with an era; answers of earlier eras are not used; across eras the order that writers give decides; leases end with the restore, their holder takes them anew and appends lost reports, all others wait; windows that an earlier holder may have reported are left out. The stand-in store and the soak restore from copies; the soak also has engines that leave or ask for a pause.

The tests of positions and keys fail on the mutants, which are the code before.

--- a/packages/core/src/foxtailrelay_core/internal/message_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -9,6 +9,7 @@
 
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core import store_position
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
 _TYPE_BY_FIELD: dict[str, typing.Any] = {
@@ -41,6 +42,18 @@
     (message_types.Exchange, 'topics'): message_types.TopicRecords,
     (message_types.TopicRecords, 'records'): message_types.TopicRecord,
 }
+# Positions are sent as an offset and an era.
+_POSITION_FIELDS: frozenset[tuple[typing.Any, str]] = frozenset(
+    (
+        (message_types.TopicMark, 'end'),
+        (message_types.LeaseMark, 'offset'),
+        (message_types.LeaseMark, 'term'),
+        (message_types.TopicWant, 'from_offset'),
+        (message_types.TopicRecords, 'end'),
+        (message_types.TopicRecord, 'offset'),
+    )
+)
+_ERA_SUFFIX = 'Era'
 MAX_TRAVERSAL_WORDS = 4 << 20
 
 
@@ -98,7 +111,11 @@
             value = _to_fields(value)
         if isinstance(value, enum.IntEnum):
             value = int(value)
-        fields[_camel_case(name)] = value
+        field = _camel_case(name)
+        if (type(message), name) in _POSITION_FIELDS and value >= 0:
+            fields[field + _ERA_SUFFIX] = store_position.era_of(value)
+            value = store_position.offset_of(value)
+        fields[field] = value
     return fields
 
 
@@ -106,7 +123,10 @@
     """Build a message of type ``kind`` from a decoded mapping."""
     values = {}
     for name in kind._fields:
-        value = content[_camel_case(name)]
+        field = _camel_case(name)
+        value = content[field]
+        if (kind, name) in _POSITION_FIELDS and value >= 0:
+            value = store_position.build(content[field + _ERA_SUFFIX], value)
         item_kind = _ITEM_TYPE_BY_FIELD.get((kind, name))
         if item_kind is not None:
             value = tuple(_from_fields(item_kind, item) for item in value)
--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -156,11 +156,14 @@
     age_ms : int
         Milliseconds since the sender's copy was last confirmed to be
         current.
+    version : int
+        Version of the content, where the topic has one.
     """
 
     topic: str
     end: int
     age_ms: int
+    version: int = 0
 
 
 class LeaseMark(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -111,15 +111,21 @@
 }
 
 struct TopicMark {
+  # Each position is an offset in its field and an era in the field of the
+  # same name with "Era", so that older releases read the offset.
   topic @0 :Text;
   end @1 :Int64;
   ageMs @2 :UInt32;
+  version @3 :Int64;
+  endEra @4 :UInt16;
 }
 
 struct LeaseMark {
   offset @0 :Int64;
   term @1 :Int64;
   holder @2 :Text;
+  offsetEra @3 :UInt16;
+  termEra @4 :UInt16;
 }
 
 struct ReportCopy {
@@ -154,6 +160,7 @@
 struct TopicWant {
   topic @0 :Text;
   fromOffset @1 :Int64;
+  fromOffsetEra @2 :UInt16;
 }
 
 struct TopicRecords {
@@ -162,6 +169,7 @@
   ageMs @2 :UInt32;
   isFull @3 :Bool;
   records @4 :List(TopicRecord);
+  endEra @5 :UInt16;
 }
 
 struct TopicRecord {
@@ -169,6 +177,7 @@
   offset @1 :Int64;
   value @2 :Data;
   isDropped @3 :Bool;
+  offsetEra @4 :UInt16;
 }
 
 struct PlaceCall {
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -28,6 +28,10 @@
     ) -> backend_server.BackendServer | str:
         """Decode an entry, or return the reason why it is unusable."""
 
+    @abc.abstractmethod
+    def decode_order(self, value: bytes) -> tuple[int, int] | None:
+        """Return the start of the server and the number of the entry."""
+
 
 class ServerList(topic_follower.TopicListener):
     """Backend servers by id.
@@ -74,6 +78,14 @@
         for record in records:
             self._handle_record(record)
 
+    def order_of(
+        self, record: topic_store.KeyedRecord
+    ) -> tuple[int, int] | None:
+        """Return the start of the server and the number of its entry."""
+        if record.value is None:
+            return None
+        return self._decoder.decode_order(record.value)
+
     def usable(self, service: str) -> list[backend_server.BackendServer]:
         """Return the servers of a service that accept new requests."""
         self._remove_lapsed()
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtailrelay_core import messages
+from foxtailrelay_core import store_position
 import logbook
 
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -23,6 +24,10 @@
     it waits for unresponsive nodes.  As appends succeed only at the expected
     end, no node appends after a record that it has not read.
 
+    A restore of the store loses the last records.  Each record names the era
+    in which its writer appended it, so that leases of earlier eras, which
+    end with the restore, are recognised.
+
     Parameters
     ----------
     topic : str
@@ -33,6 +38,16 @@
         Updated with each lease that is read or appended.
     clock : Clock
         Clock of the node.
+
+    Attributes
+    ----------
+    report_by_window, interim_by_window : dict of int to dict
+        Counts by organisation, also of records that a restore has lost.
+    end : int
+        Position up to which the log was read.
+    restored_at_s : float or None
+        When this node found that records may have been lost; None if it did
+        not, or knows that none were.
     """
 
     def __init__(
@@ -45,12 +60,16 @@
         self.report_by_window: dict[int, dict[str, int]] = {}
         self.interim_by_window: dict[int, dict[str, int]] = {}
         self.end = 0
+        self.restored_at_s: float | None = None
         self._topic = topic
         self._store = store
         self._view = view
         self._clock = clock
         self._holder = ''
         self._term = -1
+        self._has_read = False
+        self._stored_reports: set[int] = set()
+        self._stored_interims: set[int] = set()
 
     @property
     def holder(self) -> str:
@@ -62,6 +81,19 @@
         """Offset of the first lease of the holder's term."""
         return self._term
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether the store was restored after this log was read."""
+        latest_era = max(
+            self._store.known_era(),
+            store_position.era_of(self._view.newest_mark().offset),
+        )
+        return latest_era > store_position.era_of(self.end)
+
+    def is_held_by(self, start_id: str) -> bool:
+        """Whether the newest lease of the latest era is of this start."""
+        return self._holder == start_id and not self.is_outdated
+
     async def read(self) -> topic_store.Unavailable | None:
         """Read up to the end; return the failure if that isn't possible."""
         while True:
@@ -70,12 +102,16 @@
                 case topic_store.Unavailable():
                     return result
                 case topic_store.Expired(first=first):
+                    era = store_position.era_of(first)
+                    if era > store_position.era_of(self.end):
+                        self._enter_era(era)
                     self.end = first
                 case topic_store.Changes(records=records, end=end):
                     for record in records:
                         self._apply(record.offset, record.value or b'')
                     if not records or self.end >= end:
                         self.end = max(self.end, end)
+                        self._finish_first_read()
                         return None
 
     async def append_lease(
@@ -106,7 +142,63 @@
             {'interim': window, 'by': holder, 'counts': counts}
         )
 
+    async def append_lost_records(self, holder: str) -> bool:
+        """Append the reports that a restore has lost.
+
+        Returns
+        -------
+        bool
+            Whether all reports that this node has are in the log now.
+        """
+        for counts_by_window, stored, append in (
+            (self.report_by_window, self._stored_reports, self.append_report),
+            (
+                self.interim_by_window,
+                self._stored_interims,
+                self.append_interim,
+            ),
+        ):
+            for window in sorted(counts_by_window.keys() - stored):
+                counts = counts_by_window[window]
+                result = await append(holder, window, counts)
+                if not isinstance(result, topic_store.Appended):
+                    return False
+        return True
+
+    def _finish_first_read(self) -> None:
+        """Wait for a lease that a restore before this start may have lost."""
+        if self._has_read:
+            return
+        self._has_read = True
+        era = store_position.era_of(self.end)
+        if era > 0 and not self._holder:
+            self._record_restore(era)
+
+    @staticmethod
+    def _is_of_era(content: dict[str, typing.Any], era: int) -> bool:
+        """Whether a record was written in an era, not copied into it."""
+        # Records of older releases name no era.
+        return content.get('era', era) == era
+
+    def _enter_era(self, era: int) -> None:
+        """Drop what a restore has ended, and keep what it may have lost."""
+        self._holder = ''
+        self._term = -1
+        self._stored_reports.clear()
+        self._stored_interims.clear()
+        if self._has_read:
+            _LOG.warning('duty-log-restored', extra={'era': era})
+            self._record_restore(era)
+
+    def _record_restore(self, era: int) -> None:
+        """Make leases of earlier eras count from now until they expire."""
+        self.restored_at_s = self._clock.boot_s()
+        self._view.update(
+            messages.LeaseMark(store_position.before_era(era), -1, '')
+        )
+
     async def _append(self, content: dict[str, typing.Any]):
+        content['era'] = store_position.era_of(self.end)
         data = json.dumps(content, sort_keys=True).encode()
         result = await self._store.append_at(self._topic, self.end, data)
         if isinstance(result, topic_store.Appended):
@@ -119,20 +211,27 @@
         try:
             content = json.loads(data)
             if 'lease' in content:
-                self._apply_lease(offset, str(content['lease']))
+                self._apply_lease(offset, content)
             elif 'report' in content:
                 window = int(content['report'])
                 _keep_first_counts(self.report_by_window, window, content)
+                self._stored_reports.add(window)
             elif 'interim' in content:
                 window = int(content['interim'])
                 _keep_first_counts(self.interim_by_window, window, content)
+                self._stored_interims.add(window)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             _LOG.error(
                 'duty-record-unreadable',
                 extra={'offset': offset, 'reason': str(error)},
             )
 
-    def _apply_lease(self, offset: int, holder: str) -> None:
+    def _apply_lease(
+        self, offset: int, content: dict[str, typing.Any]
+    ) -> None:
+        holder = str(content['lease'])
+        if not self._is_of_era(content, store_position.era_of(offset)):
+            return
         if holder != self._holder:
             self._holder = holder
             self._term = offset
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/lease_manager.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/lease_manager.py
@@ -62,10 +62,20 @@
         self._renew_at_s = -math.inf
         self._has_resigned = False
 
+    @property
+    def length_s(self) -> float:
+        """Length of a lease."""
+        return self._lease_s
+
     def fencing_token(self) -> duty_platform.FencingToken | None:
-        """Return the fencing token, or None if the lease is not held."""
+        """Return the fencing token, or None if the lease is not held.
+
+        A restore of the store ends the lease.
+        """
         if self._clock.boot_s() >= self._held_until_s:
             return None
+        if not self._log.is_held_by(self._start_id):
+            return None
         return duty_platform.FencingToken(self._node_id, self._log.term + 1)
 
     def resign(self) -> None:
@@ -87,7 +97,9 @@
     async def _step(self) -> None:
         now_s = self._clock.boot_s()
         if now_s < self._held_until_s:
-            if now_s >= self._renew_at_s:
+            if not self._log.is_held_by(self._start_id):
+                await self._retake()
+            elif now_s >= self._renew_at_s:
                 await self._append('renewed')
             return
         wait_s = self._lease_s + _ATTEMPT_SPACING_S * min(self.rank, _MAX_RANK)
@@ -99,6 +111,25 @@
         if self._view.age_s() >= wait_s:
             await self._append('taken')
 
+    async def _retake(self) -> None:
+        """Take the lease anew that a restore of the store has ended.
+
+        All other nodes wait for the length of a lease from the restore on,
+        so no other node holds one of the new era unless its record is there.
+        """
+        if await self._log.read() is not None:
+            return
+        if self._log.holder not in ('', self._start_id):
+            self._end_term(f'{self._log.holder} took it after a restore')
+            return
+        if not await self._log.append_lost_records(self._start_id):
+            return
+        if self._clock.boot_s() >= self._held_until_s:
+            return
+        await self._append('retaken')
+        if self._log.is_held_by(self._start_id):
+            self._log.restored_at_s = None
+
     async def _append(self, event: str) -> None:
         sent_at_s = self._clock.boot_s()
         previous = self._view.newest_mark()
@@ -106,9 +137,9 @@
         match result:
             case topic_store.Appended(offset=offset):
                 self._hold_from(sent_at_s)
-                if event == 'taken':
+                if event != 'renewed':
                     _LOG.info(
-                        'lease-taken',
+                        f'lease-{event}',
                         extra={
                             'offset': offset,
                             'term': self._log.term,
@@ -117,7 +148,9 @@
                     )
             case topic_store.EndMoved(end=end):
                 await self._log.read()
-                if self._log.holder != self._start_id:
+                # After a restore there is no holder, and the next step takes
+                # the lease anew.
+                if self._log.holder not in ('', self._start_id):
                     self._end_term(f'another node appended up to offset {end}')
             case topic_store.Unavailable(reason=reason):
                 # The record may have been appended nevertheless.
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/usage_reporter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/usage_reporter.py
@@ -95,6 +95,17 @@
         """Report one window; return False to retry later."""
         counts = self._log.report_by_window.get(window)
         if counts is None:
+            if self._may_be_reported(window):
+                _LOG.warning(
+                    'usage-not-reported',
+                    extra={
+                        'window': window,
+                        'reason': 'a report that the store has lost may '
+                        'have other counts',
+                    },
+                )
+                self._confirmed.add(window)
+                return True
             if not self._has_all_counts(window):
                 await self._append_interim(window)
                 return False
@@ -125,6 +136,18 @@
                 self._lease.step_down('a later holder has reported usage')
         return False
 
+    def _may_be_reported(self, window: int) -> bool:
+        """Whether an earlier lease holder may have reported the window.
+
+        Its lease may have ended a lease's length after the restore that lost
+        its records.
+        """
+        restored_at_s = self._log.restored_at_s
+        if restored_at_s is None:
+            return False
+        ended_at_s = self._clock.boot_s() - self._since_end_s(window)
+        return ended_at_s < restored_at_s + self._lease.length_s
+
     def _counts(self, window: int) -> dict[str, int]:
         """Return the counts of a window, also those of failed nodes."""
         counts = collections.Counter(self._usage.totals(window))
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -1,9 +1,11 @@
 """The configuration in force and whether the node accepts requests."""
 
 import abc
+import math
 import typing
 
 from foxtailrelay_core import errors
+from foxtailrelay_core import store_position
 import logbook
 
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
@@ -85,6 +87,9 @@
         self._decoder = decoder
         self._clock = clock
         self._key_validity_s = key_validity_s * _KEY_VALIDITY_SHARE
+        self._required_version = 0
+        self._has_peer_version = False
+        self._copy_suspected_until_s = -math.inf
 
     def handle_records(
         self, records: typing.Sequence[topic_store.KeyedRecord]
@@ -100,6 +105,10 @@
                     extra={'offset': record.offset, 'reason': decoded},
                 )
             elif self.table is None or decoded.version > self.table.version:
+                if self.table is None and store_position.era_of(record.offset):
+                    self._copy_suspected_until_s = (
+                        self._clock.boot_s() + self._key_validity_s
+                    )
                 self.table = decoded
                 _LOG.info(
                     'configuration-in-force',
@@ -109,6 +118,32 @@
                     },
                 )
 
+    def order_of(self, record: topic_store.KeyedRecord) -> int | None:
+        """Return the version of a configuration; None if it is unusable."""
+        if record.key != _CONFIGURATION_KEY or record.value is None:
+            return None
+        decoded = self._decoder.decode_configuration(record.value)
+        return None if isinstance(decoded, str) else decoded.version
+
+    def content_version(self) -> int:
+        """Return the version in force, for peers."""
+        return self.table.version if self.table else 0
+
+    def handle_peer_version(self, version: int, is_required: bool) -> None:
+        """Fail closed while a peer has a version that the store has lost."""
+        self._has_peer_version = True
+        if is_required and version > self._required_version:
+            self._required_version = version
+            _LOG.warning(
+                'configuration-lost-by-store',
+                extra={
+                    'version': version,
+                    'in_force': self.content_version(),
+                    'effect': 'requests with keys are refused until a peer '
+                    'has sent the lost version',
+                },
+            )
+
     @property
     def limits(self) -> caller_limits.CallerLimits:
         """Limits of callers' requests and connections."""
@@ -122,7 +157,24 @@
 
     def is_fresh(self) -> bool:
         """Whether the configuration is recent enough to validate keys."""
-        return self.table is not None and self.age_s() <= self._key_validity_s
+        return (
+            self.table is not None
+            and self.table.version >= self._required_version
+            and self.age_s() <= self._key_validity_s
+            and not self._may_be_restored_copy()
+        )
+
+    def _may_be_restored_copy(self) -> bool:
+        """Whether this start may have read a copy with revoked keys.
+
+        Only peers can tell whether the store was restored just before.  With
+        none the node waits for as long as a key may be used after its
+        revocation; by then the operators have written again.
+        """
+        return (
+            not self._has_peer_version
+            and self._clock.boot_s() < self._copy_suspected_until_s
+        )
 
     def find_access(
         self, host: str, path: str, api_key: str | None
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -1,9 +1,11 @@
 """Builds and applies the gossip exchanges between nodes."""
 
+import collections
 import math
 import typing
 
 from foxtailrelay_core import messages
+from foxtailrelay_core import store_position
 import logbook
 
 from foxtailrelay_node.internal.relay.backends import departure_notices
@@ -24,6 +26,9 @@
 # In a full mesh a peer normally gets each report from the reporting node, so
 # copies are forwarded less often.
 _FULL_MESH_FORWARD_INTERVAL_S = 2.5
+# Start of a request for all records of a topic.
+_ALL_RECORDS = -1
+_MAX_LOST_REQUESTS = 20
 
 
 class Identity(typing.NamedTuple):
@@ -125,6 +130,9 @@
         self._sequence = 0
         self._built_at_s = clock.boot_s()
         self._own_body = b''
+        self._lost_requests: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         self.renew_report()
 
     def renew_report(self) -> None:
@@ -332,6 +340,12 @@
             if follower is None or mark.end < 0:
                 continue
             view = follower.view
+            is_required = mark.end <= view.end and self._is_lost_version(
+                follower, mark.version
+            )
+            follower.listener.handle_peer_version(mark.version, is_required)
+            if is_required and self._may_request_lost(mark):
+                wants.append(messages.TopicWant(mark.topic, _ALL_RECORDS))
             if mark.end == view.end:
                 as_of_s = requested_at_s - mark.age_ms / 1000
                 view.as_of_s = max(view.as_of_s, as_of_s)
@@ -339,6 +353,29 @@
                 wants.append(messages.TopicWant(mark.topic, view.end))
         return wants
 
+    @staticmethod
+    def _is_lost_version(
+        follower: topic_follower.TopicFollower, version: int
+    ) -> bool:
+        """Whether a restore of the store has lost a peer's version.
+
+        The peer has read no further than this node, yet its content is newer.
+        """
+        return (
+            store_position.era_of(follower.view.end) > 0
+            and version > follower.listener.content_version()
+        )
+
+    def _may_request_lost(self, mark: messages.TopicMark) -> bool:
+        """Whether a lost version has not been requested too often already.
+
+        A node that cannot decode the version would request it for ever.
+        """
+        self._lost_requests[mark.topic, mark.version] += 1
+        return (
+            self._lost_requests[mark.topic, mark.version] <= _MAX_LOST_REQUESTS
+        )
+
     def _update_member_counts(self) -> None:
         """Update the node counts by which cluster-wide limits are split."""
         live = self.peers.live()
@@ -364,7 +401,10 @@
         if not view.is_loaded:
             return messages.TopicMark(follower.topic, -1, 0)
         return messages.TopicMark(
-            follower.topic, view.end, _age_ms(now_s, view.as_of_s)
+            follower.topic,
+            view.end,
+            _age_ms(now_s, view.as_of_s),
+            follower.listener.content_version(),
         )
 
     def _follower(self, topic: str) -> topic_follower.TopicFollower | None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/node_registry.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/node_registry.py
@@ -2,6 +2,7 @@
 
 import json
 
+from foxtailrelay_core import store_position
 import logbook
 import trio
 
@@ -52,22 +53,28 @@
 
     async def run(self) -> None:
         """Register and read until cancelled."""
-        is_registered = False
+        registered_era = None
         while True:
-            if not is_registered:
-                is_registered = await self._register()
+            # A restore of the store may have lost the record.
+            if registered_era is None or (
+                registered_era < self._store.known_era()
+            ):
+                registered_era = await self._register()
             if not self._peers.live():
                 await self._read_addresses()
             await trio.sleep(_INTERVAL_S)
 
-    async def _register(self) -> bool:
+    async def _register(self) -> int | None:
+        """Write this node's record; return its era, None if it failed."""
         value = json.dumps(
             [self._own_address.host, self._own_address.port]
         ).encode()
         result = await self._store.append_keyed(
             self._topic, self._node_id, value
         )
-        return isinstance(result, topic_store.Appended)
+        if isinstance(result, topic_store.Appended):
+            return store_position.era_of(result.offset)
+        return None
 
     async def _read_addresses(self) -> None:
         snapshot = await self._store.read_snapshot(self._topic)
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/keyed_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/keyed_view.py
@@ -3,6 +3,8 @@
 import math
 import typing
 
+from foxtailrelay_core import store_position
+
 from foxtailrelay_node.internal.relay.state import topic_store
 
 _Record = topic_store.KeyedRecord
@@ -13,6 +15,16 @@
 class KeyedView:
     """The newest record of each key up to an offset.
 
+    Offsets order the records of one era of the store.  A store that was
+    restored from an older copy shows older values again, in a later era; then
+    the order that writers give to their values decides.
+
+    Parameters
+    ----------
+    order_of : callable
+        Returns the place of a record among the values of its key, or None if
+        its value shows none.
+
     Attributes
     ----------
     end : int
@@ -22,12 +34,17 @@
         been current.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, order_of: typing.Callable[[_Record], typing.Any] = lambda _: None
+    ) -> None:
         self.end = -1
         self.as_of_s = -math.inf
+        self._order_of = order_of
         self._record_by_key: dict[str, _Record] = {}
         self._tombstone_by_key: dict[str, _Record] = {}
         self._first_change_offset = 0
+        # Last values of removed keys, to recognise them in an older copy.
+        self._removed_by_key: dict[str, _Record] = {}
 
     @property
     def is_loaded(self) -> bool:
@@ -43,10 +60,15 @@
     ) -> list[_Record]:
         """Apply a snapshot and return the records that it changed.
 
-        A snapshot that is older than the copy is ignored.
+        A snapshot that is older than the copy is ignored, except for values
+        that are newer than the copy's because the store was restored.
         """
         if snapshot.end < self.end:
-            return []
+            return self._recover_values(snapshot.records)
+        is_restore = self.is_loaded and (
+            store_position.era_of(snapshot.end)
+            > store_position.era_of(self.end)
+        )
         current = {record.key: record for record in snapshot.records}
         changed = [
             _Record(key, snapshot.end, None)
@@ -56,7 +78,8 @@
         changed += [
             record
             for record in snapshot.records
-            if not self._has_record(record)
+            if self._supersedes(record)
+            and not (is_restore and self._was_removed(record))
         ]
         self._first_change_offset = snapshot.end
         self._tombstone_by_key.clear()
@@ -72,7 +95,7 @@
         added = [
             record
             for record in changes.records
-            if record.offset >= self.end and not self._has_record(record)
+            if record.offset >= self.end and self._supersedes(record)
         ]
         if not changes.is_complete:
             as_of_s = self.as_of_s
@@ -98,22 +121,63 @@
         missing = [r for r in records if r.offset >= offset]
         return False, sorted(missing, key=lambda r: r.offset)
 
-    def _has_record(self, record: _Record) -> bool:
+    def _recover_values(
+        self, records: typing.Iterable[_Record]
+    ) -> list[_Record]:
+        """Apply values of an earlier era that a restore has lost."""
+        recovered = [
+            record
+            for record in records
+            if record.key in self._record_by_key
+            and store_position.era_of(record.offset)
+            < store_position.era_of(self._record_by_key[record.key].offset)
+            and self._supersedes(record)
+        ]
+        for record in recovered:
+            self._record_by_key[record.key] = record
+        return recovered
+
+    def _supersedes(self, record: _Record) -> bool:
+        """Whether a record is newer than the copy's record of its key."""
         current = self._record_by_key.get(record.key)
-        return current is not None and current.offset >= record.offset
+        if current is None:
+            return True
+        if store_position.era_of(record.offset) != store_position.era_of(
+            current.offset
+        ):
+            order, current_order = (
+                self._order_of(record),
+                self._order_of(current),
+            )
+            if None not in (order, current_order) and order != current_order:
+                return order > current_order
+        return record.offset > current.offset
+
+    def _was_removed(self, record: _Record) -> bool:
+        """Whether the key was removed after it had this or a newer value."""
+        removed = self._removed_by_key.get(record.key)
+        if removed is None:
+            return False
+        order, removed_order = self._order_of(record), self._order_of(removed)
+        return None not in (order, removed_order) and order <= removed_order
 
     def _apply(
         self, records: typing.Iterable[_Record], end: int, as_of_s: float
     ) -> None:
         for record in records:
             if record.value is None:
-                self._record_by_key.pop(record.key, None)
+                removed = self._record_by_key.pop(record.key, None)
+                if removed is not None:
+                    self._removed_by_key[record.key] = removed
                 self._tombstone_by_key[record.key] = record
             else:
                 self._tombstone_by_key.pop(record.key, None)
+                self._removed_by_key.pop(record.key, None)
                 self._record_by_key[record.key] = record
         if len(self._tombstone_by_key) > _MAX_TOMBSTONES:
             self._tombstone_by_key.clear()
             self._first_change_offset = end
+        while len(self._removed_by_key) > _MAX_TOMBSTONES:
+            del self._removed_by_key[next(iter(self._removed_by_key))]
         self.end = end
         self.as_of_s = max(self.as_of_s, as_of_s)
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/store_health.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/store_health.py
@@ -54,6 +54,15 @@
         self._answered_at_s = max(self._answered_at_s, requested_at_s)
         self._record_recovery(topic, 'store')
 
+    def record_restore(self, topic: str) -> None:
+        """Record that a topic was read from a store restored from a copy.
+
+        Entries may be missing until their writers have written them again,
+        as after an outage.
+        """
+        self.last_outage_s = self._clock.boot_s()
+        _LOG.warning('topic-restored', extra={'topic': topic})
+
     def record_confirmation(self, topic: str, as_of_s: float) -> None:
         """Record that the copy of a topic was current at ``as_of_s``.
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -5,6 +5,7 @@
 import typing
 
 from foxtailrelay_core import messages
+from foxtailrelay_core import store_position
 import logbook
 import trio
 
@@ -47,6 +48,30 @@
     ) -> None:
         """Handle changed records."""
 
+    def order_of(self, record: topic_store.KeyedRecord) -> typing.Any:
+        """Return the place of a record among the values of its key.
+
+        It has to be comparable, and comes from the value alone.  None if the
+        value shows no order.
+        """
+        return None
+
+    def content_version(self) -> int:
+        """Return the version of the content, for peers; 0 if it has none."""
+        return 0
+
+    def handle_peer_version(self, version: int, is_required: bool) -> None:
+        """Handle the content version of a peer that has read the topic.
+
+        Parameters
+        ----------
+        version : int
+            Version of the peer's content.
+        is_required : bool
+            Whether the store has lost this version in a restore, so that it
+            has to come from a peer.
+        """
+
 
 class TopicFollower:
     """Keeps a copy of a topic current by long polls and through peers.
@@ -89,9 +114,9 @@
     ) -> None:
         self.topic = topic
         self.rank = 0
-        self.view = keyed_view.KeyedView()
+        self.listener = listener
+        self.view = keyed_view.KeyedView(listener.order_of)
         self._store = store
-        self._listener = listener
         self._health = health
         self._clock = clock
         self._confirmation_age_s = confirmation_age_s
@@ -166,6 +191,7 @@
     async def _read(self, wait_s: float) -> bool:
         """Call the store once; return whether it answered."""
         requested_at_s = self._clock.boot_s()
+        era = store_position.era_of(self.view.end)
         if self._needs_snapshot or not self.view.is_loaded:
             result = await self._store.read_snapshot(self.topic)
         else:
@@ -181,7 +207,10 @@
                     'topic-expired',
                     extra={'topic': self.topic, 'first': first},
                 )
-                self._needs_snapshot = True
+                # A poll that began before a restore may end after the topic
+                # was read again.
+                if store_position.era_of(self.view.end) == era:
+                    self._needs_snapshot = True
             case topic_store.Snapshot():
                 self._needs_snapshot = False
                 self.apply_snapshot(result, requested_at_s)
@@ -194,6 +223,11 @@
         self, snapshot: topic_store.Snapshot, as_of_s: float
     ) -> None:
         """Apply a snapshot from the store or a peer."""
+        if self.view.is_loaded and (
+            store_position.era_of(snapshot.end)
+            > store_position.era_of(self.view.end)
+        ):
+            self._health.record_restore(self.topic)
         self._notify_listener(self.view.replace(snapshot, as_of_s))
 
     def apply_changes(
@@ -225,4 +259,4 @@
         self, records: typing.Sequence[topic_store.KeyedRecord]
     ) -> None:
         if records:
-            self._listener.handle_records(records)
+            self.listener.handle_records(records)
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
@@ -1,4 +1,8 @@
-"""Interface to the platform's store."""
+"""Interface to the platform's store.
+
+All offsets here are positions, which include the era of the store; see
+:mod:`store_position`.
+"""
 
 import abc
 import dataclasses
@@ -13,7 +17,7 @@
     key : str
         The key.
     offset : int
-        Position of the record in its topic.
+        Position of the record in its topic (:mod:`store_position`).
     value : bytes or None
         None for a tombstone.
     """
@@ -50,7 +54,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Expired:
-    """The requested records have expired; a snapshot is needed instead."""
+    """The requested records have expired; a snapshot is needed instead.
+
+    If the store was restored, ``first`` belongs to a later era than the
+    requested offset.
+    """
 
     first: int
 
@@ -88,6 +96,10 @@
 class TopicStore(abc.ABC):
     """Topics of the platform's store, one partition each."""
 
+    def known_era(self) -> int:
+        """Return the latest era that an answer of the store has shown."""
+        return 0
+
     @abc.abstractmethod
     async def read_snapshot(self, topic: str) -> Snapshot | Unavailable:
         """Read the newest record of each key of a keyed topic."""
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -49,7 +49,8 @@
             self._store_fault, self._store_connection_fault,
             self._engine_connection_fault, self._failing_engine,
             self._replace_engine, self._configure,
-            self._compact, self._step_clock,
+            self._compact, self._step_clock, self._restore_store,
+            self._leaving_engine, self._quiet_engine,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -150,14 +151,7 @@
 
     async def _replace_engine(self, nursery) -> None:
         service = self._rng.choice(['plain', 'model'])
-        old = self._rng.choice(
-            sorted(
-                server_id
-                for server_id in self._cluster.engine_by_id
-                if server_id[0] == service[0]
-                and server_id not in self._cluster.draining_since_by_id
-            )
-        )
+        old = self._rng.choice(self._cluster.serving_ids(service))
         new = f'{service[0]}{self._next_engine_number}'
         self._next_engine_number += 1
         self._record(f'{new} replaces {old}')
@@ -178,6 +172,39 @@
         await trio.sleep(self._rng.uniform(0.5, 5.0))
         self._cluster.set_clock_offset(host, 0.0)
 
+    async def _restore_store(self, nursery) -> None:
+        seconds = self._rng.uniform(0.5, 5.0)
+        copy = self._cluster.store.copy()
+        await trio.sleep(seconds)
+        self._record(f'store comes back from a copy {seconds:.1f} s old')
+        store = self._cluster.store
+        with trio.CancelScope(shield=True):
+            store.faults.failure_mode = 'reset'
+            await trio.sleep(self._rng.uniform(0.1, 1.0))
+            store.restore(copy)
+            store.faults.failure_mode = ''
+            await trio.sleep(self._rng.uniform(0.1, 1.0))
+            self._cluster.write_again()
+
+    async def _leaving_engine(self, nursery) -> None:
+        """Announce a departure in answers only; the entry says "ready"."""
+        service = self._rng.choice(['plain', 'model'])
+        old = self._rng.choice(self._cluster.serving_ids(service))
+        new = f'{service[0]}{self._next_engine_number}'
+        self._next_engine_number += 1
+        self._record(f'{old} announces its departure; {new} follows')
+        await self._cluster.add_engine(nursery, service, new)
+        await trio.sleep(0.5)
+        self._cluster.engine_by_id[old].is_leaving = True
+
+    async def _quiet_engine(self, nursery) -> None:
+        server_id = self._rng.choice(sorted(self._cluster.engine_by_id))
+        seconds = round(self._rng.uniform(0.3, 3.0), 2)
+        self._record(f'{server_id} refuses for {seconds} s')
+        self._cluster.engine_by_id[server_id].quiet_s = seconds
+        await trio.sleep(seconds)
+        self._cluster.engine_by_id[server_id].quiet_s = 0.0
+
     async def _compact(self, nursery) -> None:
         self._record('store compacts its topics')
         for topic in ('keyed.op', 'keyed.servers'):
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import typing
 
 import trio
 import yaml
@@ -64,7 +65,8 @@
         self._folder = folder
         self._store_port = 0
         self._cloud_address = ''
-        self._entry_by_id: dict[str, bytes] = {}
+        self._entry_by_id: dict[str, dict[str, typing.Any]] = {}
+        self._has_key = True
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the stand-ins and the nodes."""
@@ -87,7 +89,11 @@
     def configure(self, has_key: bool = True) -> None:
         """Store a new version of the configuration."""
         self.version += 1
-        keys = ['k1'] if has_key else []
+        self._has_key = has_key
+        self._store_configuration()
+
+    def _store_configuration(self) -> None:
+        keys = ['k1'] if self._has_key else []
         tenants = [
             {'name': 'org', 'api-keys': keys},
             {'name': 'other', 'api-keys': ['k2']},
@@ -109,14 +115,34 @@
         entry = relay_rig.encode_server_entry(
             service, 1, address=f'{self.local_host}:{proxy_port}'
         )
-        self._entry_by_id[server_id] = entry
-        self.store.put('keyed.servers', server_id, entry)
+        self._entry_by_id[server_id] = json.loads(entry) | {'sequence': 0}
+        self._store_entry(server_id)
+
+    def _store_entry(self, server_id: str) -> None:
+        entry = self._entry_by_id[server_id]
+        entry['sequence'] += 1
+        self.store.put('keyed.servers', server_id, json.dumps(entry).encode())
+
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote before a restore."""
+        self._store_configuration()
+        for server_id in self._entry_by_id:
+            self._store_entry(server_id)
+
+    def serving_ids(self, service: str) -> list[str]:
+        """Return the ids of a service's servers that are not leaving."""
+        return sorted(
+            server_id
+            for server_id, stand_in in self.engine_by_id.items()
+            if server_id[0] == service[0]
+            and server_id not in self.draining_since_by_id
+            and not stand_in.is_leaving
+        )
 
     def drain_engine(self, server_id: str) -> None:
         """Set the state of a backend server in the server list to draining."""
-        entry = json.loads(self._entry_by_id[server_id])
-        entry['state'] = 'draining'
-        self.store.put('keyed.servers', server_id, json.dumps(entry).encode())
+        self._entry_by_id[server_id]['state'] = 'draining'
+        self._store_entry(server_id)
         self.draining_since_by_id.setdefault(server_id, time.monotonic())
 
     def start_node(self, host: str) -> None:
--- a/tests/cover/relay/test_lease.py
+++ b/tests/cover/relay/test_lease.py
@@ -73,7 +73,7 @@
         super().__init__()
         self.loop = virtual_loop.VirtualLoop(seed=1)
         self.clock = fake_clocks.ManualClock()
-        self.log = _Log()
+        self.log = self.create_log()
         self.start = 0
         self.views = [None] * 3
         self.managers = [None] * 3
@@ -84,10 +84,17 @@
     def teardown(self):
         self.loop.stop()
 
+    def create_log(self):
+        return _Log()
+
+    def connect(self):
+        """Return a new client of the log."""
+        return self.log
+
     def new_start(self, index):
         self.start += 1
         view = lease_view.LeaseView(self.clock)
-        log = duty_log.DutyLog('t', self.log, view, self.clock)
+        log = duty_log.DutyLog('t', self.connect(), view, self.clock)
         self.views[index] = view
         self.managers[index] = lease_manager.LeaseManager(
             f'n{index}/{self.start}',
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
+from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import lease_manager
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.duties import usage_reporter
@@ -23,8 +24,11 @@
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay.state import keyed_view
+from foxtailrelay_node.internal.relay.state import store_health
+from foxtailrelay_platform import era_reader
 from foxtailrelay_platform import header_format
 import pytest
+import test_store_restore as restores
 
 from cover.relay import test_clocks as clocks
 from cover.relay import test_cluster_retry_budget as budgets
@@ -200,6 +204,50 @@
         _set(attempt_runner, '_is_quiet_request', _always(False)),
         notices.test_a_request_for_a_pause_is_no_failure_of_the_server,
     ),
+    'the era of the store is ignored': (
+        _set(era_reader, '_parse_era', _always(0)),
+        restores.test_offsets_of_two_eras_are_never_mistaken_for_each_other,
+    ),
+    'answers of earlier eras are used': (
+        _set(era_reader.EraReader, 'read', lambda self, answer: self.latest),
+        restores.test_an_answer_of_an_earlier_era_is_not_used,
+    ),
+    'a lease outlives a restore': (
+        _set(duty_log.DutyLog, 'is_outdated', False),
+        restores.test_a_holder_stops_when_any_answer_shows_a_later_era,
+    ),
+    'a node does not wait for leases that a restore has lost': (
+        _set(duty_log.DutyLog, '_record_restore', _always(None)),
+        _run_machine(restores.TestRestoredLeaseMachine),
+    ),
+    'leases of earlier eras are valid': (
+        _set(duty_log.DutyLog, '_is_of_era', _always(True)),
+        restores.test_a_lease_in_the_copy_does_not_end_the_holders_term,
+    ),
+    'lost reports are reported anew': (
+        _set(usage_reporter.UsageReporter, '_may_be_reported', _always(False)),
+        restores.test_another_holder_leaves_out_windows_that_may_be_reported,
+    ),
+    'a restored entry of a server that left is used': (
+        _set(keyed_view.KeyedView, '_was_removed', _always(False)),
+        restores.test_a_server_that_left_since_the_copy_is_not_used_again,
+    ),
+    'a restored entry replaces a newer one': (
+        _set(server_list.ServerList, 'order_of', _always(None)),
+        restores.test_a_server_that_drains_since_the_copy_stays_unused,
+    ),
+    'a restore is not treated as an outage': (
+        _set(store_health.StoreHealth, 'record_restore', _always(None)),
+        restores.test_servers_missing_in_the_copy_are_used_for_a_while,
+    ),
+    'configurations lost in a restore are not taken from peers': (
+        _set(gossip.Gossip, '_is_lost_version', _always(False)),
+        restores.test_a_node_that_starts_after_a_restore_asks_a_peer,
+    ),
+    'a node that starts after a restore trusts the copy': (
+        _set(node_state.NodeState, '_may_be_restored_copy', _always(False)),
+        restores.test_a_node_without_peers_refuses_keys_right_after_a_restore,
+    ),
     'older copies replace newer ones': (
         _set(keyed_view.KeyedView, 'replace', _replace_always),
         _run_machine(views.TestTopicMachine),
