Let no malformed message or unexpected error end a node

Cause: a report that could not be decoded, in a valid exchange, raised through the connection into the process; so did deeply nested JSON (RecursionError) and 1e999 (OverflowError) in records that any writer may put into the store, and any unexpected error in a background task. A body that sent a byte every few seconds held its connection without end. A lease mark out of range made every later message of the node unencodable.

Change: unreadable reports are left out; one list of errors that decoding can raise; peer, readiness and metrics connections fail alone; background tasks are started again; positions out of range are rejected on decoding; a body has 60 s in all.

--- a/packages/core/src/foxtailrelay_core/errors.py
+++ b/packages/core/src/foxtailrelay_core/errors.py
@@ -18,5 +18,23 @@
 ErrorKind = error_kind.ErrorKind
 Failure = failure.Failure
 Outcome = outcome.Outcome
+# Errors that decoding malformed JSON and using its values can raise: deeply
+# nested arrays exceed the recursion limit, and 1e999 is no whole number.
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
-__all__ = ['ANSWER_BY_KIND', 'ErrorAnswer', 'ErrorKind', 'Failure', 'Outcome']
+__all__ = [
+    'ANSWER_BY_KIND',
+    'DECODE_ERRORS',
+    'ErrorAnswer',
+    'ErrorKind',
+    'Failure',
+    'Outcome',
+]
--- a/packages/core/src/foxtailrelay_core/store_position.py
+++ b/packages/core/src/foxtailrelay_core/store_position.py
@@ -16,6 +16,11 @@
 def build(era: int, offset: int) -> int:
     """Return the position of an offset in an era.
 
+    Raises
+    ------
+    ValueError
+        If the offset or the era is out of range, as in a malformed message.
+
     Examples
     --------
     >>> build(0, 17)
@@ -23,6 +28,8 @@
     >>> build(1, 0) > build(0, 10**9)
     True
     """
+    if not (0 <= era <= MAX_ERA and 0 <= offset <= _OFFSET_MASK):
+        raise ValueError(f'offset {offset} of era {era} is out of range')
     return (era << _OFFSET_BITS) | offset
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
@@ -45,9 +45,12 @@
 
     async def run(self) -> None:
         """Run the connections until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await trio.sleep_forever()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                await trio.sleep_forever()
+        finally:
+            self._nursery = None
 
     async def request_placement(
         self,
@@ -114,6 +117,11 @@
                 'dispatcher-unreachable',
                 extra={'peer': address.host, 'reason': str(error)},
             )
+        except Exception:
+            # An error on one link must not end the links to others.
+            _LOG.exception(
+                'dispatch-connection-failed', extra={'peer': address.host}
+            )
         finally:
             del self._link_by_address[address]
             link.connect_finished.set()
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
@@ -3,6 +3,7 @@
 import json
 import typing
 
+from foxtailrelay_core import errors
 from foxtailrelay_core import messages
 from foxtailrelay_core import store_position
 import logbook
@@ -220,7 +221,7 @@
                 window = int(content['interim'])
                 _keep_first_counts(self.interim_by_window, window, content)
                 self._stored_interims.add(window)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except errors.DECODE_ERRORS as error:
             _LOG.error(
                 'duty-record-unreadable',
                 extra={'offset': offset, 'reason': str(error)},
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
@@ -19,6 +19,9 @@
 # reset.
 _LINGER_TIMEOUT_S = 1.0
 _BODY_PROGRESS_TIMEOUT_S = 5.0
+# No deadline is later than this, so a body that takes longer is not read on,
+# even if a byte arrives now and then.
+_BODY_TIMEOUT_S = 60.0
 
 
 class CallerDisconnected(Exception):
@@ -269,6 +272,18 @@
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        with trio.move_on_after(_BODY_TIMEOUT_S):
+            return await self._collect_body(head, headers, limits)
+        return Refused(
+            408, f'the body was not complete in {_BODY_TIMEOUT_S:g} s'
+        )
+
+    async def _collect_body(
+        self,
+        head: h11.Request,
+        headers: list[tuple[bytes, bytes]],
+        limits: caller_limits.CallerLimits,
+    ) -> RawRequest | Refused:
         body = bytearray()
         while True:
             event = await self._next_body_event()
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_client.py
@@ -57,6 +57,7 @@
 
     async def run(self) -> None:
         """Run one task for each neighbour until cancelled."""
+        self._scope_by_address.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._gossip.renew_report()
@@ -117,6 +118,12 @@
             return reason
         except OSError as error:
             return str(error)
+        except Exception as error:
+            # One malformed message must not end the connections to others.
+            _LOG.exception(
+                'peer-connection-failed', extra={'peer': address.host}
+            )
+            return f'{type(error).__name__}: {error}'
         finally:
             if stream is not None:
                 await trio.aclose_forcefully(stream)
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -79,5 +79,8 @@
             trio.ClosedResourceError,
         ) as error:
             _LOG.debug('peer-connection-ended', extra={'reason': str(error)})
+        except Exception:
+            # One malformed message must not end the connections of others.
+            _LOG.exception('peer-connection-failed')
         finally:
             await trio.aclose_forcefully(stream)
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -257,9 +257,7 @@
             versions.record_held(
                 (peer_versions.start_hash(copy),), (copy.sequence,)
             )
-            report = self.peers.merge_report(copy)
-            if report is not None:
-                self._apply_report(report)
+            self._merge_report(copy)
         self._state.lease.update(exchange.lease)
         if exchange.reports:
             sender = exchange.reports[0].node_id
@@ -274,6 +272,24 @@
             tuple(wants), tuple(t for t in topics if t is not None)
         )
 
+    def _merge_report(self, copy: messages.ReportCopy) -> None:
+        """Merge a report; skip one that cannot be decoded."""
+        try:
+            report = self.peers.merge_report(copy)
+        except messages.DecodeError as error:
+            # The report is another node's: the sender only forwards it.
+            _LOG.error(
+                'peer-report-unreadable',
+                extra={
+                    'peer': copy.node_id,
+                    'reason': str(error),
+                    'effect': 'report ignored',
+                },
+            )
+            return
+        if report is not None:
+            self._apply_report(report)
+
     def _build_topic_records(
         self, want: messages.TopicWant
     ) -> messages.TopicRecords | None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/node_registry.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/node_registry.py
@@ -2,6 +2,7 @@
 
 import json
 
+from foxtailrelay_core import errors
 from foxtailrelay_core import store_position
 import logbook
 import trio
@@ -91,7 +92,7 @@
         try:
             host, port = json.loads(record.value or b'null')
             addresses.append(address_book.PeerAddress(str(host), int(port)))
-        except (ValueError, TypeError) as error:
+        except errors.DECODE_ERRORS as error:
             _LOG.warning(
                 'node-record-unreadable',
                 extra={'key': record.key, 'reason': str(error)},
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -25,6 +25,7 @@
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay import settings_watcher
 from foxtailrelay_node.internal.relay import status_handler
+from foxtailrelay_node.internal.relay import supervision
 
 _LOG = logbook.Logger('foxtailrelay.node')
 _MAINTENANCE_INTERVAL_S = 0.5
@@ -131,16 +132,16 @@
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(self._watch_signals)
-            for run in (
-                self._log_queue.run,
-                self._timer.run,
-                *(follower.run for follower in self._view.followers),
-                self._peers.run,
-                self._duties.run,
-                self._settings_watcher.run,
-                self._run_maintenance,
+            for name, run in (
+                ('log', self._log_queue.run),
+                ('timer', self._timer.run),
+                *((f.topic, f.run) for f in self._view.followers),
+                ('peers', self._peers.run),
+                ('duties', self._duties.run),
+                ('settings', self._settings_watcher.run),
+                ('maintenance', self._run_maintenance),
             ):
-                nursery.start_soon(run)
+                nursery.start_soon(supervision.run_restarting, name, run)
             await self._listen(nursery)
             await self._stop_requested.wait()
             await self._drain()
@@ -165,9 +166,13 @@
 
     def _status_server(self, handler: status_handler.StatusHandler):
         async def serve(stream: trio.SocketStream) -> None:
-            await caller_connection.CallerConnection(
-                stream, handler, self._clock.boot_s
-            ).serve()
+            try:
+                await caller_connection.CallerConnection(
+                    stream, handler, self._clock.boot_s
+                ).serve()
+            except Exception:
+                # An error in one connection must not end the others.
+                _LOG.exception('connection-failed')
 
         return serve
 
