Wake an idle node less often, and accept until a stopping node is drained

Ruled out for now: fewer neighbours or rarer exchanges, since limits depend on the age of reports. Second cause, found by a test of a planned stop under load: closing the listener reset connections that its backlog held, with requests sent.

Change: periodic tasks wake together every 0.25 s, at a phase of each node; a follower that does not poll waits for its rank; hashes of nodes' starts are cached. A stopping node accepts, and refuses, until there was no new connection for 0.25 s.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.duties import usage_reporter
 from foxtailrelay_node.internal.relay import relay_ports
 from foxtailrelay_node.internal.relay import relay_settings
+from foxtailrelay_node.internal.relay import ticks
 
 _STEP_INTERVAL_S = 0.5
 
@@ -94,7 +95,7 @@
 
     async def _run_steps(self) -> None:
         while True:
-            await trio.sleep(_STEP_INTERVAL_S)
+            await ticks.sleep(_STEP_INTERVAL_S)
             if self._lease_manager.fencing_token() is None:
                 continue
             if 'usage' in self._duties:
--- a/packages/node/src/foxtailrelay_node/internal/relay/caller_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/caller_server.py
@@ -9,9 +9,12 @@
 from foxtailrelay_node.internal.relay import node_state
 
 _LOG = logbook.Logger('foxtailrelay.callers')
-# A stopping node accepts connections until the load balancer has detected that
-# it is not ready.
+# A stopping node accepts requests until the load balancer has detected that it
+# is not ready.
 _KEEP_ACCEPTING_S = 3.0
+# It goes on accepting connections, and refuses their requests, until there was
+# no new one for this time: closing the listener resets those in its backlog.
+_NO_CONNECTION_S = 0.25
 # A stopping node exits this time before it would be killed.
 _EXIT_MARGIN_S = 0.4
 _DRAIN_POLL_INTERVAL_S = 0.05
@@ -40,6 +43,7 @@
         self._state = state
         self._clock = clock
         self._accept_scope = trio.CancelScope()
+        self._last_accepted_s = clock.boot_s()
         self._connections: set[caller_connection.CallerConnection] = set()
 
     async def accept(
@@ -59,15 +63,20 @@
         deadline_s = self._clock.boot_s() + grace_s - _EXIT_MARGIN_S
         self._state.is_leaving = True
         await trio.sleep(_KEEP_ACCEPTING_S)
-        self._accept_scope.cancel()
         self._state.is_refusing = True
-        while self._connections and self._clock.boot_s() < deadline_s:
+        while not self._is_drained() and self._clock.boot_s() < deadline_s:
             for connection in list(self._connections):
                 connection.close_if_idle()
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
+        self._accept_scope.cancel()
+
+    def _is_drained(self) -> bool:
+        idle_s = self._clock.boot_s() - self._last_accepted_s
+        return not self._connections and idle_s >= _NO_CONNECTION_S
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         sockets.set_options(stream)
+        self._last_accepted_s = self._clock.boot_s()
         connection = caller_connection.CallerConnection(
             stream, self._handler, self._clock.boot_s
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/lease_manager.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/lease_manager.py
@@ -3,13 +3,13 @@
 import math
 
 import logbook
-import trio
 
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import duty_platform
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.state import topic_store
+from foxtailrelay_node.internal.relay import ticks
 
 _LOG = logbook.Logger('foxtailrelay.duties')
 # Share of its length after which a lease is renewed.
@@ -20,7 +20,6 @@
 # order of their names, so that usually only one node tries.
 _ATTEMPT_SPACING_S = 0.15
 _MAX_RANK = 8
-_CHECK_INTERVAL_S = 0.25
 
 
 class LeaseManager:
@@ -92,7 +91,7 @@
         while True:
             if not self._has_resigned:
                 await self._step()
-            await trio.sleep(_CHECK_INTERVAL_S)
+            await ticks.sleep()
 
     async def _step(self) -> None:
         now_s = self._clock.boot_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/log_queue.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/log_queue.py
@@ -6,10 +6,10 @@
 import typing
 
 import logbook
-import trio
+
+from foxtailrelay_node.internal.relay import ticks
 
 _MAX_LINES = 4000
-_FLUSH_INTERVAL_S = 0.2
 _MAX_WRITE_BYTES = 32768
 
 
@@ -62,7 +62,7 @@
         """Write lines until cancelled."""
         while True:
             self.flush()
-            await trio.sleep(_FLUSH_INTERVAL_S)
+            await ticks.sleep()
 
     def flush(self) -> None:
         """Write as much as the output accepts without blocking."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_versions.py
@@ -1,15 +1,24 @@
 """Versions of the reports that the peer of a connection holds."""
 
+import functools
 import typing
 
 from foxtailrelay_core import messages
 
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 
+# Each exchange needs the hash of every node's start.
+_MAX_CACHED_HASHES = 2048
+
 
 def start_hash(copy: messages.ReportCopy) -> int:
     """Return a hash that identifies one start of a node."""
-    return rendezvous_hash.weight(copy.node_id, str(copy.incarnation))
+    return _start_hash(copy.node_id, copy.incarnation)
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_HASHES)
+def _start_hash(node_id: str, incarnation: int) -> int:
+    return rendezvous_hash.weight(node_id, str(incarnation))
 
 
 class PeerVersions:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -26,6 +26,7 @@
 from foxtailrelay_node.internal.relay import settings_watcher
 from foxtailrelay_node.internal.relay import status_handler
 from foxtailrelay_node.internal.relay import supervision
+from foxtailrelay_node.internal.relay import ticks
 
 _LOG = logbook.Logger('foxtailrelay.node')
 _MAINTENANCE_INTERVAL_S = 0.5
@@ -218,7 +219,7 @@
 
     async def _run_maintenance(self) -> None:
         while True:
-            await trio.sleep(_MAINTENANCE_INTERVAL_S)
+            await ticks.sleep(_MAINTENANCE_INTERVAL_S)
             self._view.time.update_offset()
             await self._pool.close_expired()
             self._view.loads.evict_unused()
--- a/packages/node/src/foxtailrelay_node/internal/relay/request_timer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/request_timer.py
@@ -6,8 +6,8 @@
 import trio
 
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay import ticks
 
-_CHECK_INTERVAL_S = 0.25
 # Smaller differences arise because the two clocks are read one after the
 # other.
 _MIN_PAUSE_S = 0.05
@@ -46,7 +46,7 @@
         """Detect suspensions until cancelled."""
         clock_difference_s = self._clock.boot_s() - trio.current_time()
         while True:
-            await trio.sleep(_CHECK_INTERVAL_S)
+            await ticks.sleep()
             now_s = self._clock.boot_s() - trio.current_time()
             paused_s = now_s - clock_difference_s
             clock_difference_s = now_s
--- a/packages/node/src/foxtailrelay_node/internal/relay/settings_watcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/settings_watcher.py
@@ -3,10 +3,10 @@
 import abc
 
 import logbook
-import trio
 
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay import relay_settings
+from foxtailrelay_node.internal.relay import ticks
 
 _LOG = logbook.Logger('foxtailrelay.node')
 _POLL_INTERVAL_S = 1.0
@@ -45,7 +45,7 @@
         """Poll for changes until cancelled; signals call :meth:`reload`."""
         stamp = self._source.stamp()
         while True:
-            await trio.sleep(_POLL_INTERVAL_S)
+            await ticks.sleep(_POLL_INTERVAL_S)
             current = self._source.stamp()
             if current != stamp:
                 stamp = current
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -13,6 +13,7 @@
 from foxtailrelay_node.internal.relay.state import keyed_view
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_store
+from foxtailrelay_node.internal.relay import ticks
 
 _LOG = logbook.Logger('foxtailrelay.state')
 # Bounds of the backoff after a failed call; refused calls are billed too.
@@ -22,8 +23,6 @@
 # Delay of the next poll after a change; a small part of the time within which
 # a change must be in force.
 _CHANGE_DELAY_S = 0.3
-# Interval of checks of the copy's age.
-_CHECK_INTERVAL_S = 0.15
 # Nodes of the first ranks confirm the copy at a random age in the first range,
 # given as fractions of the confirmation age, and gossip spreads that; the
 # others do so at an age in the second range if no confirmation has arrived.
@@ -99,8 +98,10 @@
 
     Attributes
     ----------
-    rank : int
-        Number of live nodes that are ranked before this one.
+    listener : TopicListener
+        Receives changed records.
+    view : KeyedView
+        The copy.
     """
 
     def __init__(
@@ -113,7 +114,8 @@
         confirmation_age_s: float,
     ) -> None:
         self.topic = topic
-        self.rank = 0
+        self._rank = 0
+        self._rank_lowered = trio.Event()
         self.listener = listener
         self.view = keyed_view.KeyedView(listener.order_of)
         self._store = store
@@ -122,6 +124,18 @@
         self._confirmation_age_s = confirmation_age_s
         self._needs_snapshot = True
 
+    @property
+    def rank(self) -> int:
+        """Number of live nodes that are ranked before this one."""
+        return self._rank
+
+    @rank.setter
+    def rank(self, rank: int) -> None:
+        if rank < self._rank:
+            self._rank_lowered.set()
+            self._rank_lowered = trio.Event()
+        self._rank = rank
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -136,7 +150,7 @@
         wait_s = 0.0
         while True:
             if self.view.is_loaded and self.rank >= _POLLING_RANKS:
-                await trio.sleep(_CHECK_INTERVAL_S)
+                await self._rank_lowered.wait()
                 continue
             end = self.view.end
             if await self._read(wait_s):
@@ -154,7 +168,7 @@
         """Confirm the copy when it has not been confirmed in time."""
         jitter = random.random()
         while True:
-            await trio.sleep(_CHECK_INTERVAL_S)
+            await ticks.sleep()
             if not self.view.is_loaded:
                 continue
             self._health.record_confirmation(self.topic, self.view.as_of_s)
