--- a/packages/core/src/foxtailrelay_core/store_position.py
+++ b/packages/core/src/foxtailrelay_core/store_position.py
@@ -3,7 +3,7 @@
 After a restore the store assigns the offsets that were lost again, to other
 records, and its era rises by one.  A position has the era in its upper bits,
 so that positions compare as (era, offset); in era 0 it equals the offset.
-Negative positions stand for a topic that has not been read.
+A negative position means that the topic has not been read.
 """
 
 # Enough for decades of records; a fencing number stays below 2**53, which
--- a/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
@@ -36,8 +36,8 @@
     is_leaving : bool
         Whether the backend server announces that it is leaving.
     quiet_s : float or None
-        Seconds for which it wants no requests from this node, if it refused
-        the request and named a time.
+        Seconds for which it accepts no requests of this node, if it refused
+        the request and gave a period.
     """
 
     status: int
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/departure_notices.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/departure_notices.py
@@ -18,7 +18,7 @@
 
 
 class DepartureNotices:
-    """Instances that must get no further requests, whatever their entry says.
+    """Instances that must get no further requests, even if listed as ready.
 
     A notice is final: the list of servers may be older than the answer, after
     a restore of the store even by seconds.  Another instance at the address
@@ -59,7 +59,7 @@
     def record_peer_notices(
         self, keys: typing.Iterable[InstanceKey], peer: str
     ) -> None:
-        """Record instances whose departure a peer was told of."""
+        """Record instances that announced their departure to a peer."""
         for key in keys:
             self._add(key, peer)
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/quiet_periods.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/quiet_periods.py
@@ -1,4 +1,4 @@
-"""Times for which backend servers want no requests from this node."""
+"""Periods in which backend servers accept no requests of this node."""
 
 import math
 
@@ -8,8 +8,8 @@
 from foxtailrelay_node.internal.relay import clock as clocks
 
 _LOG = logbook.Logger('foxtailrelay.backends')
-# A longer time is taken for an error of the server, which would otherwise be
-# lost to this node.
+# A longer period is treated as an error of the server; obeying it would make
+# the server unusable for this node.
 MAX_QUIET_S = 300.0
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -54,7 +54,7 @@
     departures : DepartureNotices
         Servers that are leaving though their entry may not say so.
     quiet_periods : QuietPeriods
-        Servers that want no requests from this node for some time.
+        Servers that accept no requests of this node for some time.
     """
 
     def __init__(
@@ -98,8 +98,8 @@
     def withheld_ids(self, service: str) -> set[str]:
         """Return the ids of listed servers that have declined requests.
 
-        They announced their departure, or asked this node for a quiet
-        period.  A dispatcher may not have been told of either.
+        They announced their departure or started a quiet period for this
+        node, neither of which the dispatcher may have received.
         """
         return {
             server.id
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/duty_log.py
@@ -48,7 +48,7 @@
         Position up to which the log was read.
     restored_at_s : float or None
         When this node found that records may have been lost; None if it did
-        not, or knows that none were.
+        not, or if all of them are in the log again.
     """
 
     def __init__(
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -167,8 +167,8 @@
     def _may_be_restored_copy(self) -> bool:
         """Whether this start may have read a copy with revoked keys.
 
-        Only peers can tell whether the store was restored just before.  With
-        none the node waits for as long as a key may be used after its
+        Only a peer has evidence of a restore just before the start.  Without
+        one the node waits for as long as a key may be used after its
         revocation; by then the operators have written again.
         """
         return (
--- a/tests/cover/relay/test_reported_failures.py
+++ b/tests/cover/relay/test_reported_failures.py
@@ -25,8 +25,8 @@
 def test_a_late_second_copy_reaches_no_other_caller(pause_s):
     """Guards against an answer that the next caller gets as its own.
 
-    The server sends the first answer once more, on the connection that is in
-    use again: before the next request, together with it, or after it.
+    The server repeats the first answer on the connection that is in use
+    again: before the next request, together with it, or after it.
     """
 
     @relay_rig.with_rig
--- a/tests/cover/relay/test_server_notices.py
+++ b/tests/cover/relay/test_server_notices.py
@@ -114,7 +114,7 @@
 
 
 def test_peers_receive_a_notice():
-    """Guards against a node that keeps to the list while a peer knows more."""
+    """Guards against a node that follows the list though a peer was warned."""
     clock, nodes, link = test_gossip._pair()
     server = _server()
     nodes[0].departures.record_answer(server)
@@ -150,7 +150,7 @@
 
 @relay_rig.with_rig
 async def test_no_request_reaches_a_server_in_its_quiet_period(rig):
-    """Guards against requests to a server that asked for a pause."""
+    """Guards against requests to a server that requires a pause."""
     quiet, other = [], []
     rig.add_server('plain', 1, _repeat(_refusal('2.5'), quiet))
     assert relay_rig.status_code(await _send(rig)) == 503
@@ -197,7 +197,7 @@
 
 @relay_rig.with_rig
 async def test_an_engine_in_its_quiet_period_is_not_dispatched_to(rig):
-    """Guards against a dispatcher, told of nothing, that names the engine."""
+    """Guards against a dispatcher that names an engine it has no notice of."""
     quiet, other = [], []
     for index, answer, requests in (
         (1, _refusal('5'), quiet),
