Log which servers ended and the prompt parts of broken attempts

After a disconnect within an answer the node dials the address once: a refused connection is an ended process, a timeout a cut or a VM without power, an accepted one a reset connection. Answers that end with their connection are checked too, and a stream that ends so without any event counts as broken. No request is treated otherwise.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -37,6 +38,8 @@
         Chooses among them.
     pool : BackendPool
         Connections to them.
+    end_checker : ServerEndChecker
+        Tells ended servers from lost connections.
     budget : ClusterRetryBudget
         Limits retries.
     usage : UsageCounter
@@ -59,6 +62,7 @@
     loads: load_tracker.LoadTracker
     placer: request_placer.RequestPlacer
     pool: backend_pool.BackendPool
+    end_checker: server_end_checker.ServerEndChecker
     budget: cluster_retry_budget.ClusterRetryBudget
     usage: usage_counter.UsageCounter
     wire: wire_format.WireFormat
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -10,6 +10,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.policy import placement_result
@@ -17,6 +18,8 @@
 
 _LOG = logbook.Logger('foxtailrelay.requests')
 _CONNECT_TIMEOUT_S = 0.5
+# A prompt that crashes its server does so within this time of the first event.
+_CRASH_DELAY_S = 1.0
 # With less time before its deadline a request is not sent.
 _MIN_REMAINING_S = 0.02
 # Delay before the retry of a request that another server can probably accept.
@@ -114,6 +117,7 @@
                 job, placed, backend, progress, connection
             )
             self._record_result(job, placed, progress, result)
+            await self._has_crashed_server(job, server, progress, result)
             event = _EVENT_BY_RESULT[type(result)]
             if _is_quiet_request(result):
                 event = messages.PlaceEvent.LEFT
@@ -219,6 +223,7 @@
         progress.tried_ids.add(server.id)
         progress.sent_count += 1
         progress.may_have_run = True
+        progress.attempt_first_event_at_s = None
         self._context.loads.record_sent(
             server, job.request.prompt_parts, placed.uncached_tokens
         )
@@ -264,10 +269,39 @@
                 if not _is_quiet_request(result):
                     self._context.loads.record_failure(server)
                 fields['reason'] = reason
+                if isinstance(result, results.Broken):
+                    fields['parts'] = ','.join(job.shared_part_ids)
             case results.ServerFailure(head=head):
                 fields['status'] = head.status
         _LOG.info('attempt-ended', extra=fields)
 
+    async def _has_crashed_server(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        result: results.Result,
+    ) -> bool:
+        """Whether the server ended while it may have begun this answer."""
+        if not job.shared_part_ids or not self._context.servers.is_usable(
+            server
+        ):
+            return False
+        match result:
+            case results.Broken(is_disconnect=True, reason=reason):
+                pass
+            case results.Done(is_close_delimited=True):
+                reason = 'the connection ended the answer'
+            case _:
+                return False
+        if not await self._context.end_checker.has_ended(server, reason):
+            return False
+        first_at_s = progress.attempt_first_event_at_s
+        return (
+            first_at_s is None
+            or self._context.now_s() - first_at_s < _CRASH_DELAY_S
+        )
+
     def _record_cancelled(
         self,
         job: jobs.Job,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
@@ -76,7 +76,7 @@
                 return await self._receive()
             return await self._send_while_receiving(headers)
         except backend_connection.BackendConnectionError as error:
-            return results.Broken(str(error))
+            return _broken_by(error)
         except event_splitter.EventTooLong as error:
             return results.Broken(str(error))
 
@@ -110,7 +110,7 @@
             try:
                 received.append(await self._receive())
             except backend_connection.BackendConnectionError as error:
-                received.append(results.Broken(str(error)))
+                received.append(_broken_by(error))
             nursery.cancel_scope.cancel()
         return received[0]
 
@@ -181,7 +181,7 @@
         await self._connection.send_answer(
             head.status, head.forwarded_headers, bytes(body)
         )
-        return results.Done()
+        return results.Done(self._backend.is_close_delimited)
 
     async def _forward_events(
         self, head: answer_head.AnswerHead
@@ -193,6 +193,8 @@
             if not events:
                 continue
             self.record_first_event()
+            if self._progress.attempt_first_event_at_s is None:
+                self._progress.attempt_first_event_at_s = self._context.now_s()
             if not self._progress.is_usage_recorded:
                 self._context.record_first_part(
                     self._job, self._placed, self._sent_at_s
@@ -213,12 +215,20 @@
                     f'{self._progress.last_event_id}'
                 )
         if splitter.has_partial_event:
-            return results.Broken('the stream ended in the middle of an event')
+            return results.Broken(
+                'the stream ended in the middle of an event',
+                self._backend.is_close_delimited,
+            )
+        if (
+            self._backend.is_close_delimited
+            and self._progress.attempt_first_event_at_s is None
+        ):
+            return results.Broken('the stream ended without an event', True)
         self.is_complete = True
         self._context.record_usage(self._job, self._progress)
         await self._start_answer(head)
         await self._connection.finish_answer()
-        return results.Done()
+        return results.Done(self._backend.is_close_delimited)
 
     async def _start_answer(self, head: answer_head.AnswerHead) -> None:
         if not self._connection.has_started_answer:
@@ -240,3 +250,11 @@
                 return events[:index]
             self._progress.last_event_id = event.id
         return events
+
+
+def _broken_by(
+    error: backend_connection.BackendConnectionError,
+) -> results.Broken:
+    return results.Broken(
+        str(error), isinstance(error, backend_connection.BackendDisconnected)
+    )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
@@ -29,3 +29,11 @@
     service: str
     received_at_s: float
     deadline_s: float
+
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that other requests may have.
+
+        The last part belongs to the request or its session.
+        """
+        return tuple(part.id for part in self.request.prompt_parts[:-1])
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -22,6 +22,9 @@
     first_part_s, max_gap_s : float or None
         Seconds from the request to the first part of its answer, and the
         longest time between two parts.
+    attempt_first_event_at_s : float or None
+        When the first event of the current attempt was received, in seconds
+        since boot.
     """
 
     sent_count: int = 0
@@ -31,6 +34,7 @@
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     first_part_s: float | None = None
     max_gap_s: float | None = None
+    attempt_first_event_at_s: float | None = None
     _last_part_at_s: float = 0.0
 
     def record_part(self, received_at_s: float, now_s: float) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
@@ -7,7 +7,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Done:
-    """The whole answer was sent to the caller."""
+    """The whole answer was sent to the caller.
+
+    Parameters
+    ----------
+    is_close_delimited : bool
+        Whether only the end of the connection marked the end of the answer.
+    """
+
+    is_close_delimited: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,9 +37,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Broken:
-    """The answer is missing, invalid or truncated."""
+    """The answer is missing, invalid or truncated.
+
+    Parameters
+    ----------
+    reason : str
+        Cause, for the log and the caller.
+    is_disconnect : bool
+        Whether the connection ended before the answer did.
+    """
 
     reason: str
+    is_disconnect: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -10,12 +10,17 @@
 # Bodies up to this length fit into the smallest send window, so sending them
 # first cannot block on a server that answers early.
 _MAX_SEND_FIRST_BYTES = 8192
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class BackendConnectionError(Exception):
     """The connection failed, or the received bytes are not a valid answer."""
 
 
+class BackendDisconnected(BackendConnectionError):
+    """The server closed or reset the connection before its answer ended."""
+
+
 class BackendConnection:
     """Sends requests and receives their answers, one at a time.
 
@@ -28,12 +33,16 @@
     ----------
     has_sent : bool
         Whether any byte of the current request may have been sent.
+    is_close_delimited : bool
+        Whether only the end of the connection marks the end of the answer.
     """
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._http = _new_http()
         self.has_sent = False
+        self.is_close_delimited = False
+        self._has_received_end = False
 
     @classmethod
     async def connect(
@@ -78,7 +87,7 @@
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise BackendConnectionError(f'cannot send: {error}') from error
+            raise BackendDisconnected(f'cannot send: {error}') from error
 
     @staticmethod
     def sends_body_first(body: bytes) -> bool:
@@ -96,6 +105,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.is_close_delimited = _is_close_delimited(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BackendConnectionError(
@@ -145,19 +155,28 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(_READ_BYTES)
+                    self._has_received_end = not data
                     self._http.receive_data(data)
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise BackendConnectionError('closed by the server')
+                    raise BackendDisconnected('closed by the server')
                 else:
                     return event
         except h11.RemoteProtocolError as error:
-            raise BackendConnectionError(
-                f'not a valid answer: {error}'
-            ) from error
+            kind = BackendConnectionError
+            if self._has_received_end:
+                kind = BackendDisconnected
+            raise kind(f'not a valid answer: {error}') from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise BackendConnectionError(
-                f'connection lost: {error}'
-            ) from error
+            raise BackendDisconnected(f'connection lost: {error}') from error
+
+
+def _is_close_delimited(response: h11.Response) -> bool:
+    names = {name for name, _ in response.headers}
+    return (
+        response.status_code not in _STATUSES_WITHOUT_BODY
+        and b'content-length' not in names
+        and b'transfer-encoding' not in names
+    )
 
 
 def _new_http() -> h11.Connection:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.assembly import peering
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
+from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay import caller_server
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import backend_pool
@@ -68,6 +69,7 @@
         )
         self._timer = request_timer.RequestTimer(clock)
         dialer = sockets.TcpDialer()
+        self._end_checker = server_end_checker.ServerEndChecker(dialer)
         self._view = cluster_view.ClusterView(settings, ports, clock)
         self._peers = peering.Peering(
             settings, ports, self._view, dialer, self._metrics, clock
@@ -101,6 +103,7 @@
             loads=view.loads,
             placer=self._peers.placer,
             pool=self._pool,
+            end_checker=self._end_checker,
             budget=view.budget,
             usage=view.usage,
             wire=ports.wire,
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
+from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -107,12 +108,25 @@
         self.connected_hosts.append(host)
         backend = self.backend_by_host.get(host)
         if backend is None:
-            raise OSError('refused')
+            raise ConnectionRefusedError('refused')
         near, far = testing.memory_stream_pair()
         self._nursery.start_soon(backend, far)
         return near
 
 
+class _EndCheckDialer(sockets.Dialer):
+    """Accepts for the backends of another dialer, without starting them."""
+
+    def __init__(self, dialer):
+        self._dialer = dialer
+
+    async def connect(self, host, port):
+        await trio.lowlevel.checkpoint()
+        if host not in self._dialer.backend_by_host:
+            raise ConnectionRefusedError('refused')
+        return testing.memory_stream_pair()[0]
+
+
 class RelayRig:
     """A node's request path with in-memory callers and backends."""
 
@@ -173,6 +187,9 @@
                     pool=backend_pool.BackendPool(
                         self.dialer, self.clock.boot_s
                     ),
+                    end_checker=server_end_checker.ServerEndChecker(
+                        _EndCheckDialer(self.dialer)
+                    ),
                     budget=self.budget,
                     usage=self.usage,
                     wire=wire,
