--- a/packages/core/src/foxtailrelay_core/internal/error_kind.py
+++ b/packages/core/src/foxtailrelay_core/internal/error_kind.py
@@ -25,6 +25,7 @@
     STALE_CONFIGURATION = 'stale-configuration'
     LOG_UNAVAILABLE = 'log-unavailable'
     NO_BACKEND = 'no-backend'
+    PROMPT_QUARANTINED = 'prompt-quarantined'
     NOT_RUN = 'not-run'
     BACKEND_FAILED = 'backend-failed'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -252,6 +252,66 @@
     count: int
 
 
+class Crash(typing.NamedTuple):
+    """A server that ended under requests of the reporting node.
+
+    Parameters
+    ----------
+    server, started_ms : str, int
+        Id and start of the instance.
+    service : str
+        Its service.
+    age_ms : int
+        Milliseconds since it ended, when the report was built.
+    part_ids : tuple of str
+        Shared parts of the prompts that it may just have begun to answer.
+    """
+
+    server: str
+    started_ms: int
+    service: str
+    age_ms: int
+    part_ids: tuple[str, ...]
+
+
+class QuarantinedPart(typing.NamedTuple):
+    """A part of prompts that is not sent to a service.
+
+    Parameters
+    ----------
+    service, part_id : str
+        The service and the part.
+    crash_count : int
+        Servers that it ended.
+    age_ms, remaining_ms : int
+        Milliseconds since the last of these crashes, and until the
+        quarantine ends, when the report was built.
+    """
+
+    service: str
+    part_id: str
+    crash_count: int
+    age_ms: int
+    remaining_ms: int
+
+
+class AnsweredPart(typing.NamedTuple):
+    """A suspected part that the reporting node has received answers for.
+
+    Parameters
+    ----------
+    service, part_id : str
+        The service and the part.
+    age_ms : int
+        Milliseconds since the last of these answers, when the report was
+        built.
+    """
+
+    service: str
+    part_id: str
+    age_ms: int
+
+
 class NodeReport(typing.NamedTuple):
     """Report of a node on its own state.
 
@@ -270,6 +330,8 @@
     departures : tuple of (str, int)
         Id and start time in Unix milliseconds of the backend servers that
         announced their departure to this node.
+    crashes, quarantined_parts, answered_parts : tuple
+        Ended servers, and what is known of the parts of prompts.
     """
 
     zone: str
@@ -282,6 +344,9 @@
     usages: tuple[UsageCount, ...]
     centicores: int = 100
     departures: tuple[tuple[str, int], ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    quarantined_parts: tuple[QuarantinedPart, ...] = ()
+    answered_parts: tuple[AnsweredPart, ...] = ()
 
 
 class ReportCopy(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -155,6 +155,19 @@
   centicores @13 :UInt16;
   departureServers @14 :List(Text);
   departureStarts @15 :List(UInt64);
+  crashServers @16 :List(Text);
+  crashStarts @17 :List(UInt64);
+  crashServices @18 :List(Text);
+  # Age in milliseconds and number of parts of each crash.
+  crashNumbers @19 :List(UInt32);
+  crashParts @20 :List(Text);
+  quarantineServices @21 :List(Text);
+  quarantineParts @22 :List(Text);
+  # Crashes, age of the last one and remaining time in milliseconds.
+  quarantineNumbers @23 :List(UInt32);
+  answeredServices @24 :List(Text);
+  answeredParts @25 :List(Text);
+  answeredAges @26 :List(UInt32);
 }
 
 struct TopicWant {
@@ -207,10 +220,12 @@
   why @6 :Text;
   retryAfterMs @7 :UInt32;
   isJudged @8 :Bool;
+  isQuarantined @9 :Bool;
 }
 
 struct PlaceNote {
   booking @0 :UInt64;
   event @1 :UInt8;
   firstUs @2 :UInt32;
+  isCrash @3 :Bool;
 }
--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -64,6 +64,8 @@
         Milliseconds until a server is expected to be free, if refused.
     is_judged : bool
         False if the dispatcher lacked the state to decide.
+    is_quarantined : bool
+        Whether the request was refused for a part of its prompt.
     """
 
     server: str
@@ -75,6 +77,7 @@
     why: str
     retry_after_ms: int
     is_judged: bool
+    is_quarantined: bool = False
 
 
 class PlaceEvent(enum.IntEnum):
@@ -102,8 +105,11 @@
     first_us : int
         Microseconds from sending to the first event; 0 if none was
         received.
+    is_crash : bool
+        Whether the server ended while it may have begun this answer.
     """
 
     booking: int
     event: PlaceEvent
     first_us: int
+    is_crash: bool = False
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -11,6 +11,8 @@
 _LOAD_COLUMNS = 2
 _TRY_COLUMNS = 5
 _USAGE_COLUMNS = 2
+_CRASH_COLUMNS = 2
+_QUARANTINE_COLUMNS = 3
 
 
 def encode_report(report: message_types.NodeReport) -> bytes:
@@ -34,6 +36,7 @@
         centicores=report.centicores,
         departureServers=[server for server, _ in report.departures],
         departureStarts=[started_ms for _, started_ms in report.departures],
+        **_prompt_columns(report),
     ).to_bytes_packed()
 
 
@@ -55,6 +58,46 @@
         raise message_codec.DecodeError(f'not a report: {error}') from error
 
 
+def _prompt_columns(report: message_types.NodeReport) -> dict[str, list]:
+    crashes, answered = report.crashes, report.answered_parts
+    quarantined = report.quarantined_parts
+    return {
+        'crashServers': [crash.server for crash in crashes],
+        'crashStarts': [crash.started_ms for crash in crashes],
+        'crashServices': [crash.service for crash in crashes],
+        'crashNumbers': _flatten(
+            (crash.age_ms, len(crash.part_ids)) for crash in crashes
+        ),
+        'crashParts': _flatten(crash.part_ids for crash in crashes),
+        'quarantineServices': [part.service for part in quarantined],
+        'quarantineParts': [part.part_id for part in quarantined],
+        'quarantineNumbers': _flatten(part[2:] for part in quarantined),
+        'answeredServices': [part.service for part in answered],
+        'answeredParts': [part.part_id for part in answered],
+        'answeredAges': [part.age_ms for part in answered],
+    }
+
+
+def _to_crashes(content) -> tuple[message_types.Crash, ...]:
+    parts = iter(content.crashParts)
+    return tuple(
+        message_types.Crash(
+            server,
+            started_ms,
+            service,
+            age_ms,
+            tuple(itertools.islice(parts, count)),
+        )
+        for server, started_ms, service, (age_ms, count) in zip(
+            content.crashServers,
+            content.crashStarts,
+            content.crashServices,
+            _rows(content.crashNumbers, _CRASH_COLUMNS),
+            strict=True,
+        )
+    )
+
+
 def _to_report(content) -> message_types.NodeReport:
     slots = iter(content.spendSlots)
     return message_types.NodeReport(
@@ -96,10 +139,29 @@
         tuple(
             zip(content.departureServers, content.departureStarts, strict=True)
         ),
+        _to_crashes(content),
+        tuple(
+            message_types.QuarantinedPart(service, part_id, *numbers)
+            for service, part_id, numbers in zip(
+                content.quarantineServices,
+                content.quarantineParts,
+                _rows(content.quarantineNumbers, _QUARANTINE_COLUMNS),
+                strict=True,
+            )
+        ),
+        tuple(
+            message_types.AnsweredPart(service, part_id, age_ms)
+            for service, part_id, age_ms in zip(
+                content.answeredServices,
+                content.answeredParts,
+                content.answeredAges,
+                strict=True,
+            )
+        ),
     )
 
 
-def _flatten(rows: typing.Iterable[tuple[int, ...]]) -> list[int]:
+def _flatten(rows: typing.Iterable[tuple]) -> list:
     return list(itertools.chain.from_iterable(rows))
 
 
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -15,9 +15,11 @@
 
 PROTOCOL_VERSION = message_types.PROTOCOL_VERSION
 
+AnsweredPart = message_types.AnsweredPart
 Challenge = message_types.Challenge
 ConfigRecord = message_types.ConfigRecord
 ConfigRecords = message_types.ConfigRecords
+Crash = message_types.Crash
 Exchange = message_types.Exchange
 FetchConfig = message_types.FetchConfig
 ForwardAnswer = message_types.ForwardAnswer
@@ -36,6 +38,7 @@
 PlaceCall = place_messages.PlaceCall
 PlaceEvent = place_messages.PlaceEvent
 PlaceNote = place_messages.PlaceNote
+QuarantinedPart = message_types.QuarantinedPart
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
 ServerLoad = message_types.ServerLoad
@@ -56,9 +59,11 @@
 
 __all__ = [
     'PROTOCOL_VERSION',
+    'AnsweredPart',
     'Challenge',
     'ConfigRecord',
     'ConfigRecords',
+    'Crash',
     'Exchange',
     'FetchConfig',
     'ForwardAnswer',
@@ -77,6 +82,7 @@
     'PlaceCall',
     'PlaceEvent',
     'PlaceNote',
+    'QuarantinedPart',
     'Refusal',
     'ReportCopy',
     'ServerLoad',
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -3,6 +3,7 @@
 from foxtailrelay_core import messages
 
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -43,6 +44,8 @@
         The configuration in force, and the follower that updates it.
     servers, server_follower : ServerList, TopicFollower
         The list of servers, and the follower that updates it.
+    quarantine : PromptQuarantine
+        Parts of prompts that crash servers.
     loads, quota, budget, usage, demand
         Counters of this node and, except for demand, of its peers.
     """
@@ -79,6 +82,7 @@
             clock,
             _SERVER_CONFIRMATION_RATIO * settings.server_drain_s,
         )
+        self.quarantine = prompt_quarantine.PromptQuarantine(clock)
         self.loads = load_tracker.LoadTracker(clock)
         self.quota = quotas.Quota(
             settings.limit_window_s,
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -92,6 +92,7 @@
                 view.time,
                 self.lease,
                 view.servers.departures,
+                view.quarantine,
             ),
             clock,
             settings.limit_window_s,
@@ -112,7 +113,7 @@
             self.gossip, self.addresses, clock, dialer
         )
         self.dispatcher = dispatchers.Dispatcher(
-            view.servers, view.state, clock
+            view.servers, view.state, view.quarantine, clock
         )
         self._dispatch_client = dispatch_client.DispatchClient(dialer)
         self.server = exchange_server.ExchangeServer(
@@ -126,6 +127,7 @@
             self.dispatcher,
             view.servers,
             view.loads,
+            view.quarantine,
             view.state,
             metrics,
             clock,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -98,15 +98,17 @@
     ) -> results.Result | errors.Failure | None:
         """Run one attempt; None if the request was not sent to the server."""
         server = placed.view.server
-        event = messages.PlaceEvent.LEFT
+        event, is_crash = messages.PlaceEvent.LEFT, False
         try:
             backend = await self._connect(job, placed, progress)
             if backend is None:
                 event = messages.PlaceEvent.FAILED
                 self._context.loads.record_failure(server)
                 return None
-            # Keys and servers may have changed while connecting.
+            # Keys, servers and quarantines may have changed while connecting.
             refusal = self._recheck_key(job)
+            if refusal is None:
+                refusal = self._recheck_prompt(job, progress)
             if refusal is not None:
                 await backend.aclose()
                 return refusal
@@ -117,13 +119,18 @@
                 job, placed, backend, progress, connection
             )
             self._record_result(job, placed, progress, result)
-            await self._has_crashed_server(job, server, progress, result)
             event = _EVENT_BY_RESULT[type(result)]
+            is_crash = await self._has_crashed_server(
+                job, server, progress, result
+            )
+            self._record_evidence(job, server, result, is_crash)
+            if is_crash:
+                event = messages.PlaceEvent.FAILED
             if _is_quiet_request(result):
                 event = messages.PlaceEvent.LEFT
             return result
         finally:
-            placed.reservation.record_end(event)
+            placed.reservation.record_end(event, is_crash)
 
     def _fail_unplaced(
         self,
@@ -131,6 +138,10 @@
         progress: progresses.Progress,
         result: placement_result.NotPlaced,
     ) -> errors.Failure:
+        if result.is_quarantined:
+            return _quarantine_failure(
+                result.why, result.retry_after_s, progress
+            )
         self._context.budget.record_refusal(job.service, self._context.now_s())
         if progress.may_have_run:
             return errors.Failure(
@@ -189,6 +200,21 @@
             )
         return None
 
+    def _recheck_prompt(
+        self, job: jobs.Job, progress: progresses.Progress
+    ) -> errors.Failure | None:
+        """Return a failure if a part of the prompt is now in quarantine."""
+        quarantine = self._context.quarantine.find(
+            job.service, job.shared_part_ids
+        )
+        if quarantine is None:
+            return None
+        return _quarantine_failure(
+            quarantine.why,
+            self._context.quarantine.remaining_s(quarantine),
+            progress,
+        )
+
     async def _send(
         self,
         job: jobs.Job,
@@ -302,6 +328,23 @@
             or self._context.now_s() - first_at_s < _CRASH_DELAY_S
         )
 
+    def _record_evidence(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        result: results.Result,
+        is_crash: bool,
+    ) -> None:
+        """Record what an attempt tells about the parts of its prompt."""
+        if is_crash:
+            self._context.quarantine.record_crash(
+                job.service, server.instance_key, job.shared_part_ids
+            )
+        elif isinstance(result, results.Done) and job.shared_part_ids:
+            self._context.quarantine.record_answer(
+                job.service, job.shared_part_ids
+            )
+
     def _record_cancelled(
         self,
         job: jobs.Job,
@@ -381,6 +424,18 @@
         return None
 
 
+def _quarantine_failure(
+    why: str, remaining_s: float, progress: progresses.Progress
+) -> errors.Failure:
+    if progress.may_have_run:
+        return errors.Failure(errors.ErrorKind.BACKEND_FAILED, why)
+    return errors.Failure(
+        errors.ErrorKind.PROMPT_QUARANTINED,
+        why,
+        retry_after_s=round(remaining_s, 2),
+    )
+
+
 def _is_quiet_request(result: results.Result) -> bool:
     return isinstance(result, results.NotRun) and result.is_quiet_request
 
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
@@ -0,0 +1,468 @@
+"""Parts of prompts that crash backend servers and are not sent to them."""
+
+import collections
+import math
+import typing
+
+from foxtailrelay_core import messages
+import logbook
+
+from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.policy import crash_attribution
+
+_LOG = logbook.Logger('foxtailrelay.backends')
+InstanceKey = tuple[str, int]
+# Crashes this far apart may still have the same cause.
+_EVIDENCE_S = 3600.0
+# Longer than a report takes to reach every node of a large cluster.
+_GOSSIP_S = 60.0
+# After a quarantine one more crash suffices for the next one, which is twice
+# as long.
+_QUARANTINE_S = 600.0
+_MAX_QUARANTINE_S = 3600.0
+# Parts that were present at the same crashes are all kept away, the first time
+# for so long only: an answer or the next crash tells which is to blame.
+_AMBIGUOUS_QUARANTINE_S = 5.0
+# A peer's quarantine that ends later by less is the same one, known with the
+# delay of its report.
+_MIN_EXTENSION_S = 2.0
+# Parts that this node received an answer for within this time are sound, and
+# left out of its evidence.
+_RECENTLY_ANSWERED_S = 5.0
+# Limits of the memory of a long-lived node, and of the size of its reports.
+_MAX_CRASHES = 500
+_MAX_ANSWERED = 20_000
+_MAX_QUARANTINED = 1000
+_MAX_PARTS_PER_CRASH = 100
+_MAX_REPORTED = 100
+
+
+class Quarantine(typing.NamedTuple):
+    """A part that is not sent to the servers of a service.
+
+    Parameters
+    ----------
+    part_id : str
+        The part.
+    crash_count : int
+        Servers that it ended.
+    last_crash_s, until_s : float
+        When the last one ended, and when the quarantine ends, in seconds
+        since boot.
+    """
+
+    part_id: str
+    crash_count: int
+    last_crash_s: float
+    until_s: float
+
+    @property
+    def why(self) -> str:
+        """Reason of a refusal, for the log and the caller."""
+        return (
+            f'{self.crash_count} backend servers ended under prompts with '
+            f'part {self.part_id}; send the request without it'
+        )
+
+
+class _Crash(typing.NamedTuple):
+    at_s: float
+    part_ids: frozenset[str]
+    is_own: bool
+
+
+class _Release(typing.NamedTuple):
+    at_s: float
+    duration_s: float
+
+
+class _ServiceRecords:
+    """What is known of the prompts of one service."""
+
+    def __init__(self) -> None:
+        self.crash_by_instance: collections.OrderedDict[
+            InstanceKey, _Crash
+        ] = collections.OrderedDict()
+        self.answered_at_s_by_part: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.own_answered_at_s_by_part: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.quarantine_by_part: dict[str, Quarantine] = {}
+        self.release_by_part: dict[str, _Release] = {}
+
+
+class PromptQuarantine:
+    """Finds parts that crash servers, together with the other nodes.
+
+    Every node reports the servers that ended under its requests, and the
+    suspected parts that it received answers for, so that nodes which each see
+    a few crashes reach a verdict together.  Verdicts are passed on too: a node
+    that starts later needs no crashes of its own.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock for the ages of crashes and the ends of quarantines.
+
+    Examples
+    --------
+    >>> quarantine = PromptQuarantine(clock)
+    >>> for number in range(3):
+    ...     quarantine.record_crash('model', (f's{number}', 1), ['91bd'])
+    ...     clock.now_s += 1
+    >>> quarantine.find('model', ['aa00', '91bd']).crash_count
+    3
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._records_by_service: dict[str, _ServiceRecords] = {}
+
+    def find(
+        self, service: str, part_ids: typing.Iterable[str]
+    ) -> Quarantine | None:
+        """Return the quarantine of the first part that has one."""
+        records = self._records_by_service.get(service)
+        if records is None:
+            return None
+        for part_id in part_ids:
+            quarantine = records.quarantine_by_part.get(part_id)
+            if quarantine is None:
+                continue
+            if quarantine.until_s > self._clock.boot_s():
+                return quarantine
+            self._expire(service, records, quarantine)
+        return None
+
+    def remaining_s(self, quarantine: Quarantine) -> float:
+        """Return the seconds until a quarantine ends."""
+        return max(0.0, quarantine.until_s - self._clock.boot_s())
+
+    def count(self) -> int:
+        """Return the number of parts in quarantine."""
+        return sum(
+            len(records.quarantine_by_part)
+            for records in self._records_by_service.values()
+        )
+
+    def record_crash(
+        self,
+        service: str,
+        instance_key: InstanceKey,
+        part_ids: typing.Iterable[str],
+        is_own: bool = True,
+    ) -> None:
+        """Record that a server ended under a request.
+
+        Parameters
+        ----------
+        service : str
+            Service of the server.
+        instance_key : InstanceKey
+            The instance that ended.
+        part_ids : iterable of str
+            Shared parts of the prompt.
+        is_own : bool
+            Whether this node sent the request, and reports the crash.
+        """
+        records = self._records(service)
+        now_s = self._clock.boot_s()
+        oldest_s = now_s - _RECENTLY_ANSWERED_S
+        answered = records.own_answered_at_s_by_part
+        suspected = frozenset(
+            part_id
+            for part_id in part_ids
+            if answered.get(part_id, -math.inf) < oldest_s
+        )
+        self._add_crash(
+            records, instance_key, _Crash(now_s, suspected, is_own)
+        )
+        self._evaluate(service, records)
+
+    def record_answer(
+        self, service: str, part_ids: typing.Iterable[str]
+    ) -> None:
+        """Record a complete answer, which clears the parts of its prompt."""
+        records = self._records(service)
+        now_s = self._clock.boot_s()
+        for part_id in part_ids:
+            _store_newest(records.own_answered_at_s_by_part, part_id, now_s)
+            self._clear(service, records, part_id, now_s, 'answered')
+
+    def build_crashes(self) -> tuple[messages.Crash, ...]:
+        """Return recent crashes under this node's requests, for its report."""
+        now_s = self._clock.boot_s()
+        crashes = [
+            messages.Crash(
+                *instance_key,
+                service,
+                _to_ms(now_s - crash.at_s),
+                tuple(sorted(crash.part_ids)[:_MAX_PARTS_PER_CRASH]),
+            )
+            for service, records in self._records_by_service.items()
+            for instance_key, crash in records.crash_by_instance.items()
+            if crash.is_own
+            and crash.part_ids
+            and now_s - crash.at_s < _GOSSIP_S
+        ]
+        return tuple(crashes[-_MAX_REPORTED:])
+
+    def build_quarantined(self) -> tuple[messages.QuarantinedPart, ...]:
+        """Return the parts in quarantine, for this node's report."""
+        now_s = self._clock.boot_s()
+        parts = [
+            messages.QuarantinedPart(
+                service,
+                quarantine.part_id,
+                quarantine.crash_count,
+                _to_ms(now_s - quarantine.last_crash_s),
+                _to_ms(quarantine.until_s - now_s),
+            )
+            for service, records in self._records_by_service.items()
+            for quarantine in records.quarantine_by_part.values()
+            if quarantine.until_s > now_s
+        ]
+        return tuple(parts[-_MAX_REPORTED:])
+
+    def build_answered(self) -> tuple[messages.AnsweredPart, ...]:
+        """Return the suspected parts that were answered to this node."""
+        now_s = self._clock.boot_s()
+        parts = [
+            messages.AnsweredPart(
+                service,
+                part_id,
+                _to_ms(now_s - records.own_answered_at_s_by_part[part_id]),
+            )
+            for service, records in self._records_by_service.items()
+            for part_id in self._recent_suspects(records, now_s)
+            if part_id in records.own_answered_at_s_by_part
+        ]
+        return tuple(parts[:_MAX_REPORTED])
+
+    def merge_peer_report(
+        self, report: messages.NodeReport, made_at_s: float, peer: str
+    ) -> None:
+        """Merge what a peer reported.
+
+        Parameters
+        ----------
+        report : NodeReport
+            The report.
+        made_at_s : float
+            When it was built, in seconds since boot.
+        peer : str
+            Name of the peer, for the log.
+        """
+        for part in report.answered_parts:
+            at_s = made_at_s - part.age_ms / 1000
+            records = self._records(part.service)
+            self._clear(part.service, records, part.part_id, at_s, peer)
+        for service in {crash.service for crash in report.crashes}:
+            records = self._records(service)
+            has_news = False
+            for crash in report.crashes:
+                if crash.service == service:
+                    has_news |= self._add_crash(
+                        records,
+                        (crash.server, crash.started_ms),
+                        _Crash(
+                            made_at_s - crash.age_ms / 1000,
+                            frozenset(crash.part_ids),
+                            False,
+                        ),
+                    )
+            if has_news:
+                self._evaluate(service, records)
+        for part in report.quarantined_parts:
+            self._adopt(part, made_at_s, peer)
+
+    def _adopt(
+        self, part: messages.QuarantinedPart, made_at_s: float, peer: str
+    ) -> None:
+        """Adopt a quarantine of a peer unless newer facts contradict it."""
+        records = self._records(part.service)
+        last_crash_s = made_at_s - part.age_ms / 1000
+        until_s = made_at_s + part.remaining_ms / 1000
+        release = records.release_by_part.get(part.part_id)
+        known = records.quarantine_by_part.get(part.part_id)
+        if (
+            until_s <= self._clock.boot_s()
+            or records.answered_at_s_by_part.get(part.part_id, -math.inf)
+            >= last_crash_s
+            or (release is not None and release.at_s >= last_crash_s)
+            or (
+                known is not None
+                and known.until_s + _MIN_EXTENSION_S >= until_s
+            )
+        ):
+            return
+        self._start(
+            part.service,
+            records,
+            Quarantine(part.part_id, part.crash_count, last_crash_s, until_s),
+            peer,
+        )
+
+    def _add_crash(
+        self, records: _ServiceRecords, key: InstanceKey, crash: _Crash
+    ) -> bool:
+        """Merge a crash; return whether anything was new."""
+        known = records.crash_by_instance.get(key)
+        if known is not None:
+            merged = _Crash(
+                min(known.at_s, crash.at_s),
+                known.part_ids | crash.part_ids,
+                known.is_own or crash.is_own,
+            )
+            records.crash_by_instance[key] = merged
+            return merged.part_ids != known.part_ids
+        records.crash_by_instance[key] = crash
+        if len(records.crash_by_instance) > _MAX_CRASHES:
+            records.crash_by_instance.popitem(last=False)
+        return True
+
+    def _clear(
+        self,
+        service: str,
+        records: _ServiceRecords,
+        part_id: str,
+        at_s: float,
+        source: str,
+    ) -> None:
+        """Record that a part was answered at a time."""
+        is_new = part_id not in records.answered_at_s_by_part
+        _store_newest(records.answered_at_s_by_part, part_id, at_s)
+        quarantine = records.quarantine_by_part.get(part_id)
+        if quarantine is None:
+            return
+        if at_s < quarantine.last_crash_s and not is_new:
+            return
+        del records.quarantine_by_part[part_id]
+        _LOG.info(
+            'part-released',
+            extra={
+                'service': service,
+                'part': part_id,
+                'reason': 'a server answered a prompt with it',
+                'by': source,
+            },
+        )
+        # It was taken for one that had never been answered.
+        self._evaluate(service, records)
+
+    def _evaluate(self, service: str, records: _ServiceRecords) -> None:
+        """Quarantine the parts that the crashes prove to crash servers."""
+        now_s = self._clock.boot_s()
+        for quarantine in list(records.quarantine_by_part.values()):
+            if quarantine.until_s <= now_s:
+                self._expire(service, records, quarantine)
+        oldest_s = now_s - _EVIDENCE_S
+        for key, crash in list(records.crash_by_instance.items()):
+            if crash.at_s < oldest_s:
+                del records.crash_by_instance[key]
+        verdicts = crash_attribution.find_crashing_parts(
+            (
+                crash_attribution.Crash(crash.at_s, crash.part_ids)
+                for crash in records.crash_by_instance.values()
+            ),
+            records.answered_at_s_by_part,
+            records.quarantine_by_part.keys(),
+        )
+        for verdict in verdicts:
+            release = records.release_by_part.get(verdict.part_id)
+            if release is not None and verdict.last_crash_s <= release.at_s:
+                continue
+            duration_s = _QUARANTINE_S
+            if verdict.is_ambiguous and release is None:
+                duration_s = _AMBIGUOUS_QUARANTINE_S
+            elif release is not None:
+                duration_s = min(
+                    _MAX_QUARANTINE_S, max(duration_s, 2 * release.duration_s)
+                )
+            quarantine = Quarantine(
+                verdict.part_id,
+                verdict.crash_count,
+                verdict.last_crash_s,
+                now_s + duration_s,
+            )
+            self._start(service, records, quarantine, 'self')
+
+    def _start(
+        self,
+        service: str,
+        records: _ServiceRecords,
+        quarantine: Quarantine,
+        source: str,
+    ) -> None:
+        is_new = quarantine.part_id not in records.quarantine_by_part
+        records.quarantine_by_part[quarantine.part_id] = quarantine
+        if len(records.quarantine_by_part) > _MAX_QUARANTINED:
+            del records.quarantine_by_part[
+                next(iter(records.quarantine_by_part))
+            ]
+        if is_new:
+            now_s = self._clock.boot_s()
+            _LOG.warning(
+                'part-quarantined',
+                extra={
+                    'service': service,
+                    'part': quarantine.part_id,
+                    'crashes': quarantine.crash_count,
+                    'last_crash_age_s': round(
+                        now_s - quarantine.last_crash_s, 3
+                    ),
+                    'for_s': round(quarantine.until_s - now_s, 1),
+                    'by': source,
+                },
+            )
+
+    def _expire(
+        self, service: str, records: _ServiceRecords, quarantine: Quarantine
+    ) -> None:
+        """End a quarantine whose time is over."""
+        del records.quarantine_by_part[quarantine.part_id]
+        records.release_by_part[quarantine.part_id] = _Release(
+            quarantine.until_s, quarantine.until_s - quarantine.last_crash_s
+        )
+        _LOG.info(
+            'part-released',
+            extra={
+                'service': service,
+                'part': quarantine.part_id,
+                'reason': 'the quarantine is over',
+                'by': 'self',
+            },
+        )
+
+    @staticmethod
+    def _recent_suspects(
+        records: _ServiceRecords, now_s: float
+    ) -> typing.Iterable[str]:
+        """Return parts of recent crashes, and those in quarantine."""
+        suspects = dict.fromkeys(records.quarantine_by_part)
+        for crash in reversed(records.crash_by_instance.values()):
+            if now_s - crash.at_s < _GOSSIP_S:
+                suspects |= dict.fromkeys(crash.part_ids)
+        return suspects
+
+    def _records(self, service: str) -> _ServiceRecords:
+        if service not in self._records_by_service:
+            self._records_by_service[service] = _ServiceRecords()
+        return self._records_by_service[service]
+
+
+def _store_newest(
+    at_s_by_part: collections.OrderedDict[str, float],
+    part_id: str,
+    at_s: float,
+) -> None:
+    at_s_by_part[part_id] = max(at_s, at_s_by_part.get(part_id, at_s))
+    at_s_by_part.move_to_end(part_id)
+    if len(at_s_by_part) > _MAX_ANSWERED:
+        at_s_by_part.popitem(last=False)
+
+
+def _to_ms(seconds: float) -> int:
+    return max(0, min(0xFFFFFFFF, int(seconds * 1000)))
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -45,6 +46,7 @@
     expected_s: float
     expires_at_s: float
     has_first_event: bool
+    shared_part_ids: tuple[str, ...]
 
 
 class _Overload(typing.NamedTuple):
@@ -70,6 +72,9 @@
         Backend servers that may be used.
     state : NodeState
         The configuration in force.
+    quarantine : PromptQuarantine
+        Parts of prompts that crash servers; learns from the ends of
+        reservations.
     clock : Clock
         Clock for reservations and overloads.
     """
@@ -78,10 +83,12 @@
         self,
         servers: server_list.ServerList,
         state: node_state.NodeState,
+        quarantine: prompt_quarantine.PromptQuarantine,
         clock: clocks.Clock,
     ) -> None:
         self._servers = servers
         self._state = state
+        self._quarantine = quarantine
         self._clock = clock
         self._loads = load_tracker.LoadTracker(clock)
         self._placer = model_placer.ModelPlacer(model_placer.DISPATCHER_POLICY)
@@ -101,6 +108,9 @@
         servers = self._servers.usable(call.service)
         if service is None or service.model is None or not servers:
             return NO_DECISION
+        quarantine = self._quarantine.find(call.service, call.part_ids[:-1])
+        if quarantine is not None:
+            return self._refuse_quarantined(quarantine)
         excluded = set(call.excluded)
         views = [
             self._loads.view(server, parts, service.model.kv_capacity_tokens)
@@ -126,6 +136,18 @@
             )
             return
         self._remove(note.booking, reservation)
+        service = reservation.server.service
+        if note.is_crash:
+            self._quarantine.record_crash(
+                service,
+                reservation.server.instance_key,
+                reservation.shared_part_ids,
+                is_own=False,
+            )
+        elif note.event is messages.PlaceEvent.DONE:
+            self._quarantine.record_answer(
+                service, reservation.shared_part_ids
+            )
         if note.event is messages.PlaceEvent.DONE:
             self._loads.record_success(reservation.server)
         elif note.event is messages.PlaceEvent.FAILED:
@@ -163,6 +185,7 @@
             result.expected_s,
             self._clock.boot_s() + timeout_s,
             False,
+            tuple(part.id for part in parts[:-1]),
         )
 
     def _refuse(
@@ -190,6 +213,18 @@
             is_judged=True,
         )
 
+    def _refuse_quarantined(
+        self, quarantine: prompt_quarantine.Quarantine
+    ) -> messages.PlaceAnswer:
+        """Refuse a request for a part of its prompt."""
+        remaining_s = self._quarantine.remaining_s(quarantine)
+        return NO_DECISION._replace(
+            why=quarantine.why,
+            retry_after_ms=int(remaining_s * 1000),
+            is_judged=True,
+            is_quarantined=True,
+        )
+
     def _record_first_event(
         self, reservation_id: int, reservation: _Reservation
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -9,6 +9,7 @@
 
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
@@ -52,6 +53,8 @@
         Backend servers that may be used.
     loads : LoadTracker
         This node's view of their load.
+    quarantine : PromptQuarantine
+        Parts of prompts that crash servers.
     state : NodeState
         Age of the configuration, for the log.
     metrics : RelayMetrics
@@ -69,6 +72,7 @@
         own_dispatcher: dispatcher.Dispatcher,
         servers: server_list.ServerList,
         loads: load_tracker.LoadTracker,
+        quarantine: prompt_quarantine.PromptQuarantine,
         state: node_state.NodeState,
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
@@ -79,6 +83,7 @@
         self._own_dispatcher = own_dispatcher
         self._servers = servers
         self._loads = loads
+        self._quarantine = quarantine
         self._state = state
         self._metrics = metrics
         self._clock = clock
@@ -94,6 +99,16 @@
         """Choose a server, or return the delay before a retry."""
         service = job.access.table.service_by_name.get(job.service)
         is_model = service is not None and service.model is not None
+        quarantine = self._quarantine.find(job.service, job.shared_part_ids)
+        if quarantine is not None:
+            result = placement_result.NotPlaced(
+                quarantine.why,
+                self._quarantine.remaining_s(quarantine),
+                True,
+                True,
+            )
+            self._log_result(job, result, 'self')
+            return result
         quiet_s = self._servers.quiet_remaining_s(job.service)
         if quiet_s > 0:
             result = placement_result.NotPlaced(
@@ -184,7 +199,10 @@
             return None
         if not answer.server:
             return placement_result.NotPlaced(
-                answer.why, answer.retry_after_ms / 1000, True
+                answer.why,
+                answer.retry_after_ms / 1000,
+                True,
+                answer.is_quarantined,
             )
         server = self._servers.find_usable(answer.server)
         if server is None or self._servers.quiet_periods.remaining_s(server):
@@ -287,9 +305,11 @@
             _build_first_event_note(self._id, first_s)
         )
 
-    def record_end(self, event: messages.PlaceEvent) -> None:
+    def record_end(
+        self, event: messages.PlaceEvent, is_crash: bool = False
+    ) -> None:
         self._own_dispatcher.handle_note(
-            messages.PlaceNote(self._id, event, 0)
+            messages.PlaceNote(self._id, event, 0, is_crash)
         )
 
 
@@ -312,10 +332,12 @@
             self._address, _build_first_event_note(self._id, first_s)
         )
 
-    def record_end(self, event: messages.PlaceEvent) -> None:
+    def record_end(
+        self, event: messages.PlaceEvent, is_crash: bool = False
+    ) -> None:
         if not self._has_ended:
             self._has_ended = True
-            note = messages.PlaceNote(self._id, event, 0)
+            note = messages.PlaceNote(self._id, event, 0, is_crash)
             self._client.send_note(self._address, note)
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -10,6 +10,7 @@
 
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -71,6 +72,7 @@
     time: corrected_clock.CorrectedClock
     lease: lease_view.LeaseView
     departures: departure_notices.DepartureNotices
+    quarantine: prompt_quarantine.PromptQuarantine
 
 
 class PendingTopics(typing.NamedTuple):
@@ -150,6 +152,9 @@
             state.usage.build_usages(),
             self.identity.centicores,
             state.departures.own_notices(),
+            state.quarantine.build_crashes(),
+            state.quarantine.build_quarantined(),
+            state.quarantine.build_answered(),
         )
         self._sequence += 1
         self._built_at_s = now_s
@@ -343,6 +348,9 @@
         )
         state.budget.record_peer_attempt_counts(start_id, peer.report.tries)
         state.usage.merge_peer_usages(start_id, peer.report.usages)
+        state.quarantine.merge_peer_report(
+            peer.report, peer.made_at_s, peer.copy.node_id
+        )
         state.departures.record_peer_notices(
             peer.report.departures, peer.copy.node_id
         )
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -0,0 +1,143 @@
+"""Decides which parts of prompts crash backend servers."""
+
+import collections
+import math
+import typing
+
+# A part is blamed for crashes at this many different moments.
+_MIN_MOMENTS = 3
+# Enough also at one moment, for a part that no server has ever answered.  One
+# that was answered before may only be frequent, and needs both.
+_MIN_CRASHES = 5
+# Servers that end within this time of each other may have a cause of their
+# own, such as a rack or a network that failed.
+_MOMENT_S = 0.25
+
+
+class Crash(typing.NamedTuple):
+    """A server that ended.
+
+    Parameters
+    ----------
+    at_s : float
+        When it ended, in seconds since boot.
+    part_ids : frozenset of str
+        Shared parts of the prompts that it may just have begun to answer.
+    """
+
+    at_s: float
+    part_ids: frozenset[str]
+
+
+class Verdict(typing.NamedTuple):
+    """A part that crashes servers.
+
+    Parameters
+    ----------
+    part_id : str
+        The part.
+    crash_count : int
+        Servers that it ended since it was last answered.
+    last_crash_s : float
+        When the last of them ended.
+    is_ambiguous : bool
+        Whether another part was present at the same crashes, so that only
+        one of them may be to blame.
+    """
+
+    part_id: str
+    crash_count: int
+    last_crash_s: float
+    is_ambiguous: bool
+
+
+def find_crashing_parts(
+    crashes: typing.Iterable[Crash],
+    answered_at_s_by_part: typing.Mapping[str, float],
+    known_part_ids: typing.AbstractSet[str],
+) -> list[Verdict]:
+    """Return the parts that explain the crashes.
+
+    Designed for prompts of which many share some parts, and for servers that
+    answer dozens of them at a time: each crash hits sound requests as well.
+    An answer clears the parts of its prompt.  The part with the most crashes
+    explains them, so they count against no other part.
+
+    Parameters
+    ----------
+    crashes : iterable of Crash
+        Servers of one service that ended.
+    answered_at_s_by_part : mapping of str to float
+        When each part was last answered.
+    known_part_ids : set of str
+        Parts that are known to crash servers; they explain their crashes.
+    """
+    verdicts: list[Verdict] = []
+    unexplained = [c for c in crashes if not c.part_ids & known_part_ids]
+    while True:
+        crashes_by_part = _count(unexplained, answered_at_s_by_part)
+        blamed = {
+            part_id: found
+            for part_id, found in crashes_by_part.items()
+            if _is_proved(found, part_id in answered_at_s_by_part)
+        }
+        if not blamed:
+            return verdicts
+        most = max(
+            _rank(part_id, found, answered_at_s_by_part)
+            for part_id, found in blamed.items()
+        )
+        chosen = {
+            part_id: found
+            for part_id, found in blamed.items()
+            if _rank(part_id, found, answered_at_s_by_part) == most
+        }
+        for part_id, found in chosen.items():
+            verdicts.append(
+                Verdict(
+                    part_id,
+                    len(found),
+                    max(crash.at_s for crash in found),
+                    sum(found == other for other in chosen.values()) > 1,
+                )
+            )
+        unexplained = [c for c in unexplained if c.part_ids.isdisjoint(chosen)]
+
+
+def _count(
+    crashes: typing.Iterable[Crash],
+    answered_at_s_by_part: typing.Mapping[str, float],
+) -> dict[str, list[Crash]]:
+    """Return, by part, the crashes since the part was last answered."""
+    crashes_by_part: dict[str, list[Crash]] = collections.defaultdict(list)
+    for crash in sorted(crashes, key=lambda crash: crash.at_s):
+        for part_id in crash.part_ids:
+            answered_at_s = answered_at_s_by_part.get(part_id, -math.inf)
+            if crash.at_s > answered_at_s:
+                crashes_by_part[part_id].append(crash)
+    return crashes_by_part
+
+
+def _is_proved(crashes: list[Crash], was_answered: bool) -> bool:
+    has_moments = _count_moments(crashes) >= _MIN_MOMENTS
+    has_crashes = len(crashes) >= _MIN_CRASHES
+    if was_answered:
+        return has_moments and has_crashes
+    return has_moments or has_crashes
+
+
+def _count_moments(crashes: list[Crash]) -> int:
+    """Return the number of moments of crashes that are sorted by time."""
+    count, moment_s = 0, -math.inf
+    for crash in crashes:
+        if crash.at_s - moment_s > _MOMENT_S:
+            count, moment_s = count + 1, crash.at_s
+    return count
+
+
+def _rank(
+    part_id: str,
+    crashes: list[Crash],
+    answered_at_s_by_part: typing.Mapping[str, float],
+) -> tuple[int, bool]:
+    return len(crashes), part_id not in answered_at_s_by_part
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/placement_result.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/placement_result.py
@@ -44,8 +44,12 @@
         Seconds until a server is expected to have capacity.
     has_servers : bool
         Whether the service has any server at all.
+    is_quarantined : bool
+        Whether a part of the prompt crashes servers, so that no capacity
+        is lacking.
     """
 
     why: str
     retry_after_s: float
     has_servers: bool
+    is_quarantined: bool = False
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/reservation.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/reservation.py
@@ -13,8 +13,14 @@
         """Record the first event, ``first_s`` after the attempt was sent."""
 
     @abc.abstractmethod
-    def record_end(self, event: messages.PlaceEvent) -> None:
-        """Record how the attempt ended; later calls have no effect."""
+    def record_end(
+        self, event: messages.PlaceEvent, is_crash: bool = False
+    ) -> None:
+        """Record how the attempt ended; later calls have no effect.
+
+        ``is_crash`` says that the server ended while it may have begun the
+        answer.
+        """
 
 
 class NoReservation(Reservation):
@@ -23,7 +29,9 @@
     def record_first_event(self, first_s: float) -> None:
         """Do nothing."""
 
-    def record_end(self, event: messages.PlaceEvent) -> None:
+    def record_end(
+        self, event: messages.PlaceEvent, is_crash: bool = False
+    ) -> None:
         """Do nothing."""
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -52,6 +52,11 @@
             'Version of the configuration in force.',
             registry=self.registry,
         )
+        self.quarantined_parts = prometheus_client.Gauge(
+            'foxtailrelay_quarantined_parts',
+            'Parts of prompts that crash servers and are not sent to them.',
+            registry=self.registry,
+        )
         self.peers_up = prometheus_client.Gauge(
             'foxtailrelay_peers_up',
             'Other nodes that were heard of lately.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -101,6 +101,7 @@
         return attempt_context.AttemptContext(
             servers=view.servers,
             loads=view.loads,
+            quarantine=view.quarantine,
             placer=self._peers.placer,
             pool=self._pool,
             end_checker=self._end_checker,
@@ -195,6 +196,7 @@
         metrics.in_flight.set(self._relay.in_flight)
         state = self._view.state
         metrics.configuration_age_seconds.set(state.age_s())
+        metrics.quarantined_parts.set(self._view.quarantine.count())
         metrics.peers_up.set(len(self._peers.gossip.peers.live()))
         if state.table is not None:
             metrics.configuration_version.set(state.table.version)
--- a/tests/common/engine_fleet.py
+++ b/tests/common/engine_fleet.py
@@ -10,6 +10,7 @@
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay.catalogue import service as services
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
@@ -223,6 +224,7 @@
             self._dispatcher = dispatcher.Dispatcher(
                 _ServerList(engines),
                 _State(_Table({'m': service})),
+                prompt_quarantine.PromptQuarantine(self.clock),
                 self.clock,
             )
         self._max_burst = max_burst
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -6,6 +6,7 @@
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay import demand_meter
@@ -153,8 +154,9 @@
         self.loads = load_tracker.LoadTracker(self.clock)
         metrics = relay_metrics.RelayMetrics()
         self.table = peer_table.PeerTable('n1', self.clock)
+        self.quarantine = prompt_quarantine.PromptQuarantine(self.clock)
         self.dispatcher = dispatcher.Dispatcher(
-            self.servers, self.state, self.clock
+            self.servers, self.state, self.quarantine, self.clock
         )
         links = dispatch_client.DispatchClient(self.dialer)
         nursery.start_soon(links.run)
@@ -169,6 +171,7 @@
                 attempt_context.AttemptContext(
                     servers=self.servers,
                     loads=self.loads,
+                    quarantine=self.quarantine,
                     placer=request_placer.RequestPlacer(
                         dispatcher_selector.DispatcherSelector(
                             gossip.Identity('c', 'n1', 'a', '10.9.0.1', 80, 1),
@@ -179,6 +182,7 @@
                         self.dispatcher,
                         self.servers,
                         self.loads,
+                        self.quarantine,
                         self.state,
                         metrics,
                         self.clock,
--- /dev/null
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -0,0 +1,78 @@
+"""Crashes are blamed on the part of a prompt that causes them."""
+
+from foxtailrelay_node.internal.relay.policy import crash_attribution
+
+
+def _crashes(*part_ids, first_s=10.0, gap_s=1.0):
+    return [
+        crash_attribution.Crash(first_s + gap_s * index, frozenset(ids))
+        for index, ids in enumerate(part_ids)
+    ]
+
+
+def _blamed(crashes, answered=(), known=frozenset()):
+    verdicts = crash_attribution.find_crashing_parts(
+        crashes, dict(answered), known
+    )
+    return {verdict.part_id for verdict in verdicts}
+
+
+def test_part_without_an_answer_is_blamed_at_the_third_crash():
+    crashes = _crashes({'a', 'bad'}, {'b', 'bad'}, {'c', 'bad'})
+    assert _blamed(crashes[:2]) == set()
+    assert _blamed(crashes) == {'bad'}
+
+
+def test_first_part_that_sound_requests_share_is_not_blamed():
+    crashes = _crashes(*[{'first', 'bad'}] * 4)
+    assert _blamed(crashes, {'first': 11.5}) == {'bad'}
+
+
+def test_answer_clears_all_earlier_crashes_of_a_part():
+    crashes = _crashes(*[{'part'}] * 20)
+    assert _blamed(crashes, {'part': 40.0}) == set()
+
+
+def test_part_that_was_sound_is_blamed_after_five_crashes():
+    crashes = _crashes(*[{'part'}] * 5)
+    assert _blamed(crashes[:4], {'part': 1.0}) == set()
+    assert _blamed(crashes, {'part': 1.0}) == {'part'}
+
+
+def test_engines_that_lose_power_together_blame_no_part_that_was_answered():
+    crashes = _crashes(*[{'first', 'user'}] * 30, gap_s=0.005)
+    assert _blamed(crashes, {'first': 9.9, 'user': 1.0}) == set()
+
+
+def test_three_engines_that_end_together_blame_no_part():
+    crashes = _crashes(*[{'new'}] * 3, gap_s=0.01)
+    assert _blamed(crashes) == set()
+
+
+def test_five_prompts_that_come_at_once_are_blamed():
+    crashes = _crashes(*[{'bad'}] * 5, gap_s=0.01)
+    assert _blamed(crashes) == {'bad'}
+
+
+def test_victim_of_all_crashes_is_not_blamed_beside_a_worse_part():
+    crashes = _crashes(*[{'bad', 'victim'}] * 3, {'bad'})
+    assert _blamed(crashes) == {'bad'}
+
+
+def test_crashes_of_a_known_part_are_blamed_on_no_other_one():
+    crashes = _crashes(*[{'bad', 'victim'}] * 9)
+    assert _blamed(crashes, known={'bad'}) == set()
+
+
+def test_two_parts_that_crash_engines_are_both_blamed():
+    crashes = _crashes(*[{'bad1'}, {'bad2'}] * 3)
+    assert _blamed(crashes) == {'bad1', 'bad2'}
+
+
+def test_parts_of_the_same_crashes_are_reported_as_ambiguous():
+    crashes = _crashes(*[{'one', 'other'}] * 3)
+    verdicts = crash_attribution.find_crashing_parts(crashes, {}, frozenset())
+    assert {v.part_id: v.is_ambiguous for v in verdicts} == {
+        'one': True,
+        'other': True,
+    }
--- a/tests/cover/relay/test_gossip.py
+++ b/tests/cover/relay/test_gossip.py
@@ -6,6 +6,7 @@
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.catalogue import organisation
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -47,6 +48,7 @@
         self.loads = load_tracker.LoadTracker(clock)
         self.lease = lease_view.LeaseView(clock)
         self.departures = departure_notices.DepartureNotices(clock)
+        self.quarantine = prompt_quarantine.PromptQuarantine(clock)
         self.gossip = gossip_module.Gossip(
             gossip_module.Identity(
                 cluster, name, 'a', f'10.0.0.{incarnation}', 80, incarnation
@@ -60,6 +62,7 @@
                 corrected_clock.CorrectedClock(clock),
                 self.lease,
                 self.departures,
+                self.quarantine,
             ),
             clock,
             8.0,
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -2,6 +2,7 @@
 
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -95,7 +96,12 @@
     def __init__(self):
         clock = fake_clocks.TrioClock()
         self.node = test_gossip._Node('n1', clock)
-        rig_dispatcher = dispatcher.Dispatcher(None, _NoState(), clock)
+        rig_dispatcher = dispatcher.Dispatcher(
+            None,
+            _NoState(),
+            prompt_quarantine.PromptQuarantine(clock),
+            clock,
+        )
         self.server = exchange_server.ExchangeServer(
             self.node.gossip, 4.0, clock, rig_dispatcher
         )
--- /dev/null
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -0,0 +1,311 @@
+"""Nodes that see few crashes each keep crashing prompts away together."""
+
+from foxtailrelay_core import errors
+from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.http import sockets
+import pytest
+import trio
+
+from common import crash_fleet
+from common import fake_clocks
+from common import relay_rig
+
+_CONTACT_S = 3.0
+_MAX_LATER = 3
+_PROMPT = ('Token-Counts: 100,20', 'Prompt-Prefix: aa:60,bad:20,c1:20')
+_SOUND_PROMPT = ('Token-Counts: 100,20', 'Prompt-Prefix: aa:60,0c:20,c1:20')
+_PARTIAL_STREAM = relay_rig.stream_head() + relay_rig.encode_chunk(b'id: 1\nd')
+
+
+def _run_fleet(seed, per_s, clump, seconds=30.0, **options):
+    fleet = crash_fleet.CrashFleet(seed, **options)
+    fleet.start_gossip()
+    fleet.start_sound(100.0)
+    fleet.run(5.0)
+    fleet.start_crashing('bad', per_s, clump)
+    fleet.run(seconds)
+    return fleet
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize(
+    'per_s, clump, seconds',
+    [(0.3, 1, 90.0), (1.0, 1, 40.0), (4.0, 1, 20.0), (4.0, 3, 20.0)],
+)
+def test_nodes_that_see_different_crashes_stop_the_part(
+    seed, per_s, clump, seconds
+):
+    fleet = _run_fleet(seed, per_s, clump, seconds)
+    fifth_s = [*fleet.crashes_at_s, 1e9][:5][-1]
+    assert len(fleet.crashing_after(fifth_s + _CONTACT_S)) <= _MAX_LATER
+    assert fleet.sound_refused_share() <= 0.01
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_engines_that_end_for_other_reasons_cost_no_caller(seed):
+    """Guards against parts that are blamed for power cuts and restarts."""
+    fleet = crash_fleet.CrashFleet(seed, engines=24)
+    fleet.start_gossip()
+    fleet.start_sound(100.0)
+    for _ in range(12):
+        fleet.run(2.0)
+        for engine in fleet.engines()[: fleet.rng.choice([1, 3, 8])]:
+            fleet.end_engine(engine)
+    assert fleet.sound_refused_share() == 0.0
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_restarted_nodes_learn_the_part_from_their_peers(seed):
+    fleet = _run_fleet(seed, 2.0, 1)
+    for node in range(6):
+        fleet.restart_node(node)
+    restarted_s = fleet.clock.now_s
+    fleet.run(10.0)
+    assert fleet.crashing_after(restarted_s + _CONTACT_S) == []
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_node_that_was_cut_off_learns_the_part_when_it_is_back(seed):
+    fleet = crash_fleet.CrashFleet(seed)
+    fleet.deaf_nodes = {0, 1}
+    fleet.start_gossip()
+    fleet.start_sound(100.0)
+    fleet.start_crashing('bad', 2.0)
+    fleet.run(20.0)
+    fleet.deaf_nodes = set()
+    back_s = fleet.clock.now_s
+    fleet.run(10.0)
+    assert fleet.crashing_after(back_s + _CONTACT_S) == []
+
+
+def _crash(quarantine, name, part_ids=('bad',)):
+    quarantine.record_crash('m', (name, 1), part_ids)
+
+
+def _quarantined():
+    clock = fake_clocks.ManualClock()
+    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    for number in range(3):
+        _crash(quarantine, f's{number}')
+        clock.now_s += 1.0
+    return clock, quarantine
+
+
+def test_quarantine_ends_after_ten_minutes():
+    clock, quarantine = _quarantined()
+    clock.now_s += 590.0
+    assert quarantine.find('m', ['bad'])
+    clock.now_s += 20.0
+    assert quarantine.find('m', ['bad']) is None
+
+
+def test_one_more_crash_starts_a_longer_quarantine():
+    clock, quarantine = _quarantined()
+    clock.now_s += 610.0
+    assert quarantine.find('m', ['bad']) is None
+    _crash(quarantine, 's9')
+    found = quarantine.find('m', ['bad'])
+    assert quarantine.remaining_s(found) > 1100.0
+
+
+def test_part_of_another_service_is_not_kept_away():
+    _, quarantine = _quarantined()
+    assert quarantine.find('other', ['bad']) is None
+
+
+def test_answer_releases_a_part():
+    _, quarantine = _quarantined()
+    quarantine.record_answer('m', ['bad'])
+    assert quarantine.find('m', ['bad']) is None
+
+
+def test_ambiguous_parts_are_told_apart_by_the_next_crash():
+    clock = fake_clocks.ManualClock()
+    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    for number in range(3):
+        _crash(quarantine, f's{number}', ('bad', 'victim'))
+        clock.now_s += 1.0
+    assert quarantine.find('m', ['victim'])
+    clock.now_s += 6.0
+    assert quarantine.find('m', ['victim']) is None
+    _crash(quarantine, 's9', ('bad',))
+    assert quarantine.find('m', ['victim']) is None
+    assert quarantine.remaining_s(quarantine.find('m', ['bad'])) > 500.0
+
+
+def test_parts_that_stay_ambiguous_are_kept_away_for_long():
+    """Guards against one more crash every few seconds."""
+    clock = fake_clocks.ManualClock()
+    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    for number in range(3):
+        _crash(quarantine, f's{number}', ('bad', 'first'))
+        clock.now_s += 1.0
+    clock.now_s += 6.0
+    assert quarantine.find('m', ['bad']) is None
+    _crash(quarantine, 's9', ('bad', 'first'))
+    assert quarantine.remaining_s(quarantine.find('m', ['bad'])) > 500.0
+
+
+def _crashing_backend(rig, index, requests):
+    async def serve(stream):
+        requests.append(await relay_rig.read_request(stream))
+        await stream.send_all(_PARTIAL_STREAM)
+        del rig.dialer.backend_by_host[f'10.0.0.{index}']
+        await stream.aclose()
+
+    return serve
+
+
+async def _send(rig, path='/stream/x', prompt=_PROMPT):
+    rig.confirm_configuration(relay_rig.encode_configuration())
+    caller = rig.connect()
+    await caller.send(path, *prompt)
+    return await caller.receive()
+
+
+def _sound_backend():
+    return relay_rig.scripted_backend(
+        relay_rig.stream_head()
+        + relay_rig.encode_chunk(relay_rig.encode_event(1))
+        + relay_rig.LAST_CHUNK
+    )
+
+
+async def _serve_sound(rig, index):
+    """Serve a request that shares the first part with crashing ones."""
+    rig.add_server('model', index, _sound_backend())
+    answer = await _send(rig, prompt=_SOUND_PROMPT)
+    del rig.dialer.backend_by_host[f'10.0.0.{index}']
+    return relay_rig.status_code(answer)
+
+
+async def _crash_servers(rig, count):
+    requests = []
+    assert await _serve_sound(rig, 20) == 200
+    for index in range(1, count + 1):
+        rig.add_server('model', index, _crashing_backend(rig, index, requests))
+        answer = await _send(rig)
+        assert relay_rig.status_code(answer) in (502, 503)
+        await trio.sleep(1.0)
+    return requests
+
+
+@relay_rig.with_rig
+async def test_fourth_request_is_refused_at_once_as_not_run(rig):
+    requests = await _crash_servers(rig, 4)
+    assert len(requests) == 3
+    start_s = trio.current_time()
+    answer = await _send(rig)
+    assert trio.current_time() - start_s < 0.05
+    assert relay_rig.status_code(answer) == 503
+    assert errors.ErrorKind.PROMPT_QUARANTINED.value.encode() in answer
+    assert b'retry-after: 59' in answer.lower()
+
+
+@relay_rig.with_rig
+async def test_sound_requests_with_the_same_first_part_are_served(rig):
+    await _crash_servers(rig, 3)
+    assert await _serve_sound(rig, 21) == 200
+
+
+@relay_rig.with_rig
+async def test_last_part_of_a_prompt_is_never_blamed(rig):
+    requests = []
+    for index in range(1, 7):
+        rig.add_server('model', index, _crashing_backend(rig, index, requests))
+        await _send(rig, prompt=('Prompt-Prefix: c1:20',))
+        await trio.sleep(1.0)
+    assert len(requests) == 6
+
+
+async def _end_servers(rig, backend, prepare=lambda rig, index: None):
+    """End five servers under the same prompt; return whether it is blamed."""
+    for index in range(1, 6):
+        rig.add_server('model', index, backend(rig, index))
+        with trio.move_on_after(5.0):
+            await _send(rig)
+        prepare(rig, index)
+        await trio.sleep(1.0)
+    return rig.quarantine.find('model', ['bad']) is not None
+
+
+@relay_rig.with_rig
+async def test_engine_that_announced_its_end_is_not_blamed_on_the_prompt(rig):
+    """Guards against parts that are blamed for reclaimed engines."""
+
+    def backend(rig, index):
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(_PARTIAL_STREAM)
+            (server,) = rig.servers.usable('model')
+            rig.servers.departures.record_answer(server)
+            del rig.dialer.backend_by_host[f'10.0.0.{index}']
+            await stream.aclose()
+
+        return serve
+
+    assert not await _end_servers(rig, backend)
+
+
+@relay_rig.with_rig
+async def test_reset_connection_of_a_running_engine_is_not_blamed(rig):
+    def backend(rig, index):
+        return relay_rig.scripted_backend(_PARTIAL_STREAM)
+
+    assert not await _end_servers(rig, backend)
+
+
+@relay_rig.with_rig
+async def test_engine_that_ends_late_in_an_answer_is_not_blamed(rig):
+    """Guards against parts of answers that had run well for a while."""
+
+    def backend(rig, index):
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(
+                relay_rig.stream_head()
+                + relay_rig.encode_chunk(relay_rig.encode_event(1))
+            )
+            await trio.sleep(1.5)
+            del rig.dialer.backend_by_host[f'10.0.0.{index}']
+            await stream.aclose()
+
+        return serve
+
+    assert not await _end_servers(rig, backend)
+
+
+@relay_rig.with_rig
+async def test_close_delimited_stream_of_a_crashed_engine_is_blamed(rig):
+    """Guards against crashes that look like the end of an answer."""
+
+    def backend(rig, index):
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n'
+                b'Content-Type: text/event-stream\r\n\r\n'
+                + relay_rig.encode_event(1)
+            )
+            del rig.dialer.backend_by_host[f'10.0.0.{index}']
+            await stream.aclose()
+
+        return serve
+
+    assert await _end_servers(rig, backend)
+
+
+class _SilentDialer(sockets.Dialer):
+    async def connect(self, host, port):
+        await trio.sleep_forever()
+
+
+@relay_rig.with_rig
+async def test_engine_that_is_cut_off_or_without_power_has_not_ended(rig):
+    rig.add_server('model', 1, None)
+    (server,) = rig.servers.usable('model')
+    checker = server_end_checker.ServerEndChecker(_SilentDialer())
+    start_s = trio.current_time()
+    assert not await checker.has_ended(server, 'connection lost')
+    assert trio.current_time() - start_s <= 0.2
