Prove the quarantine of prompts: mutants, dispatcher, soak

The soak gets a kind of fault in which engines crash on a part of some prompts and are replaced; it checks both sides: at most three later requests with the part from nodes in touch, and sound requests beside it that are not quarantined.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 from soak import soak_cluster as soak_clusters
 
 _REQUEST_TIMEOUT_S = 6.0
+# Share of the prompts with a crashing part while there is one.
+_CRASHING_SHARE = 0.25
 _MAX_REQUESTS_PER_CONNECTION = 8
 
 
@@ -24,6 +26,10 @@
         Request id, path prefix and API key of the request.
     sent_at_s : float
         Monotonic time at which the request was sent.
+    host : str
+        The node that it was sent to.
+    crashing_part : bytes
+        The part of its prompt that crashes engines, if it has one.
     status : int or None
         Status of the answer; None if none was received.
     is_complete : bool
@@ -36,6 +42,8 @@
     path: str
     key: str
     sent_at_s: float
+    host: str = ''
+    crashing_part: bytes = b''
     status: int | None = None
     is_complete: bool = False
     body: bytes = b''
@@ -85,7 +93,7 @@
             connection = h11.Connection(h11.CLIENT)
             for _ in range(self._rng.randint(1, _MAX_REQUESTS_PER_CONNECTION)):
                 with trio.move_on_after(_REQUEST_TIMEOUT_S) as scope:
-                    await self._call(connection, stream)
+                    await self._call(connection, stream, host)
                 if scope.cancelled_caught or (
                     connection.our_state is not h11.DONE
                     or connection.their_state is not h11.DONE
@@ -94,13 +102,14 @@
                 connection.start_next_cycle()
                 await trio.sleep(self._rng.uniform(0.0, 0.2))
 
-    async def _call(self, connection, stream) -> None:
+    async def _call(self, connection, stream, host: str) -> None:
         path = self._rng.choice(['once', 'once', 'any', 'stream', 'resume'])
         record = RequestRecord(
             next(self._request_ids),
             path,
             self._rng.choice(['k1', 'k2']),
             time.monotonic(),
+            host,
         )
         self.records.append(record)
         headers = [
@@ -112,6 +121,7 @@
         ]
         if path in ('stream', 'resume'):
             headers.append(('Token-Counts', '50,20'))
+            headers.append(('Prompt-Prefix', self._choose_prompt(record)))
         request = h11.Request(
             method='POST', target=f'/{path}/x', headers=headers
         )
@@ -130,3 +140,12 @@
                 return
             else:
                 return
+
+    def _choose_prompt(self, record: RequestRecord) -> str:
+        """Return the parts of a prompt, at times with a crashing one."""
+        parts = [f'aa{self._rng.randrange(2)}', f'b{self._rng.randrange(9)}']
+        crashing_parts = sorted(self._cluster.crashing_parts)
+        if crashing_parts and self._rng.random() < _CRASHING_SHARE:
+            record.crashing_part = self._rng.choice(crashing_parts)
+            parts.append(record.crashing_part.decode())
+        return ','.join(f'{part}:10' for part in [*parts, 'cc'])
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -51,6 +51,7 @@
             self._replace_engine, self._configure,
             self._compact, self._step_clock, self._restore_store,
             self._leaving_engine, self._quiet_engine,
+            self._crashing_prompts,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -99,6 +100,7 @@
         host = self._choose_host()
         seconds = self._rng.uniform(0.2, 4.0)
         self._record(f'pause {host} for {seconds:.1f} s')
+        self._cluster.add_disruption(host, seconds)
         self._cluster.signal_node(host, signal.SIGSTOP)
         with trio.CancelScope(shield=True):
             await trio.sleep(seconds)
@@ -132,9 +134,11 @@
 
     async def _store_connection_fault(self, nursery) -> None:
         host = self._choose_host()
+        self._cluster.add_disruption(host)
         await self._inject_connection_fault(
             self._cluster.proxy_by_host[host], f'{host} to store'
         )
+        self._cluster.add_disruption(host)
 
     async def _engine_connection_fault(self, nursery) -> None:
         server_id = self._rng.choice(sorted(self._cluster.proxy_by_engine))
@@ -205,6 +209,15 @@
         await trio.sleep(seconds)
         self._cluster.engine_by_id[server_id].quiet_s = 0.0
 
+    async def _crashing_prompts(self, nursery) -> None:
+        """Let engines crash on a part of some callers' prompts."""
+        part = b'bad%x' % self._rng.getrandbits(32)
+        seconds = self._rng.uniform(2.0, 8.0)
+        self._record(f'part {part.decode()} crashes engines: {seconds:.1f} s')
+        self._cluster.crashing_parts.add(part)
+        await trio.sleep(seconds)
+        self._cluster.crashing_parts.discard(part)
+
     async def _compact(self, nursery) -> None:
         self._record('store compacts its topics')
         for topic in ('keyed.op', 'keyed.servers'):
--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -36,6 +36,11 @@
         self.delay_s = 0.2
         self._server_address = (host, port)
         self._connection_scopes: set[trio.CancelScope] = set()
+        self._listener_scope = trio.CancelScope()
+
+    def end(self) -> None:
+        """Close all connections and refuse new ones, as an ended process."""
+        self._listener_scope.cancel()
 
     def set_mode(self, mode: Mode) -> None:
         """Set the fault for new and open connections."""
@@ -50,7 +55,8 @@
         """Listen on a free port, and report the port when started."""
         (listener,) = await trio.open_tcp_listeners(0, host=host)
         task_status.started(listener.socket.getsockname()[1])
-        await trio.serve_listeners(self._serve_connection, [listener])
+        with self._listener_scope:
+            await trio.serve_listeners(self._serve_connection, [listener])
 
     async def _serve_connection(self, client: trio.SocketStream) -> None:
         if self.mode is Mode.RESET:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,6 +1,7 @@
 """Checks of the guarantees against what callers and servers recorded."""
 
 import collections
+import math
 import typing
 
 from soak import callers
@@ -9,6 +10,9 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _REFUSED_STATUSES = (401, 404)
 _EVENT_COUNT = 12
+_CONTACT_S = 3.0
+_MAX_LATE_CRASHES = 3
+_MIN_SOUND = 20
 
 
 def find_violations(
@@ -28,6 +32,7 @@
         runs, {record.request_id for record in records}
     )
     violations += _check_duties(cluster)
+    violations += _check_crashing_parts(cluster, records)
     return violations
 
 
@@ -71,6 +76,69 @@
     ]
 
 
+def _check_crashing_parts(
+    cluster: soak_clusters.SoakCluster,
+    records: typing.Sequence[callers.RequestRecord],
+) -> list[str]:
+    """Check that parts are kept away from engines after five crashes."""
+    record_by_id = {record.request_id: record for record in records}
+    crashes_by_part = collections.defaultdict(list)
+    for server in cluster.engine_by_id.values():
+        for part, request_id, at_s in server.crashes:
+            crashes_by_part[part].append((at_s, request_id))
+    violations = []
+    for part, crashes in crashes_by_part.items():
+        bound_s = [*sorted(crashes), (math.inf, '')][:5][-1][0] + _CONTACT_S
+        late_ids = [
+            request_id
+            for at_s, request_id in crashes
+            if at_s > bound_s
+            and _is_in_touch(cluster, record_by_id[request_id], at_s)
+        ]
+        if len(late_ids) > _MAX_LATE_CRASHES:
+            violations.append(
+                f'part {part.decode()} reached engines {len(late_ids)} times '
+                f'too late: {late_ids}'
+            )
+        violations += _check_sound_requests(records, part, bound_s)
+    return violations
+
+
+def _is_in_touch(
+    cluster: soak_clusters.SoakCluster,
+    record: callers.RequestRecord,
+    at_s: float,
+) -> bool:
+    return not any(
+        disruption.host == record.host
+        and disruption.from_s <= at_s
+        and disruption.until_s >= at_s - _CONTACT_S
+        for disruption in cluster.disruptions
+    )
+
+
+def _check_sound_requests(
+    records: typing.Sequence[callers.RequestRecord],
+    part: bytes,
+    bound_s: float,
+) -> list[str]:
+    """Check that sound requests beside a crashing part are not refused."""
+    last_s = max(
+        (r.sent_at_s for r in records if r.crashing_part == part), default=0.0
+    )
+    sound = [
+        record
+        for record in records
+        if record.path in ('stream', 'resume')
+        and not record.crashing_part
+        and bound_s + _CONTACT_S < record.sent_at_s < last_s
+    ]
+    refused = sum(b'prompt-quarantined' in record.body for record in sound)
+    if refused * 2 > max(len(sound), _MIN_SOUND):
+        return [f'{refused} of {len(sound)} sound requests were quarantined']
+    return []
+
+
 def _check_duties(cluster: soak_clusters.SoakCluster) -> list[str]:
     violations = []
     counts_by_window: dict[int, dict[str, int]] = {}
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -25,6 +25,7 @@
 _SEED_NODE_COUNT = 3
 _STAND_IN_HOST_NUMBER = 250
 _RESERVATION_PORT = 8079
+_ENGINE_RESTART_S = 1.5
 _FIRST_NETWORK_NUMBER = 20
 _NETWORK_COUNT = 200
 # Bounds in the nodes' settings.
@@ -32,6 +33,14 @@
 REVOKE_MS = 5000
 
 
+class Disruption(typing.NamedTuple):
+    """A time in which a node could not do its work."""
+
+    host: str
+    from_s: float
+    until_s: float
+
+
 class SoakCluster:
     """Node processes, stand-in servers, and the proxies between them.
 
@@ -55,6 +64,8 @@
         self.proxy_by_host: dict[str, fault_proxy.FaultProxy] = {}
         self.proxy_by_engine: dict[str, fault_proxy.FaultProxy] = {}
         self.process_by_host: dict[str, subprocess.Popen] = {}
+        self.crashing_parts: set[bytes] = set()
+        self.disruptions: list[Disruption] = []
         self.version = 7
         self.revoked_at_s = float('inf')
         network, self._reservation = _reserve_network(seed)
@@ -67,6 +78,7 @@
         self._cloud_address = ''
         self._entry_by_id: dict[str, dict[str, typing.Any]] = {}
         self._has_key = True
+        self._crash_count = 0
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the stand-ins and the nodes."""
@@ -107,7 +119,11 @@
         """Start a backend server behind a proxy and list its address."""
         stand_in = engine.EngineStandIn(server_id, 0.02, 12, 0.03)
         self.engine_by_id[server_id] = stand_in
-        address, _ = await serving.serve(nursery, stand_in, self.local_host)
+        stand_in.crashing_parts = self.crashing_parts
+        address, scope = await serving.serve(
+            nursery, stand_in, self.local_host
+        )
+        stand_in.crash = lambda: self._crash_engine(nursery, server_id, scope)
         host, _, port = address.rpartition(':')
         proxy = fault_proxy.FaultProxy(host, int(port))
         self.proxy_by_engine[server_id] = proxy
@@ -118,6 +134,32 @@
         self._entry_by_id[server_id] = json.loads(entry) | {'sequence': 0}
         self._store_entry(server_id)
 
+    def _crash_engine(
+        self,
+        nursery: trio.Nursery,
+        server_id: str,
+        scope: trio.CancelScope,
+    ) -> None:
+        """End a backend server's process; another one follows later."""
+        scope.cancel()
+        self.proxy_by_engine[server_id].end()
+        nursery.start_soon(self._replace_crashed, nursery, server_id)
+
+    async def _replace_crashed(
+        self, nursery: trio.Nursery, server_id: str
+    ) -> None:
+        await trio.sleep(_ENGINE_RESTART_S)
+        if self._entry_by_id.pop(server_id, None) is not None:
+            self.store.put('keyed.servers', server_id, b'')
+        self._crash_count += 1
+        name = f'{server_id[0]}x{self._crash_count}'
+        await self.add_engine(nursery, 'model', name)
+
+    def add_disruption(self, host: str, seconds: float = 0.0) -> None:
+        """Record that a node cannot do its work from now on."""
+        now_s = time.monotonic()
+        self.disruptions.append(Disruption(host, now_s, now_s + seconds))
+
     def _store_entry(self, server_id: str) -> None:
         entry = self._entry_by_id[server_id]
         entry['sequence'] += 1
@@ -137,16 +179,20 @@
             if server_id[0] == service[0]
             and server_id not in self.draining_since_by_id
             and not stand_in.is_leaving
+            and server_id in self._entry_by_id
         )
 
     def drain_engine(self, server_id: str) -> None:
         """Set the state of a backend server in the server list to draining."""
+        if server_id not in self._entry_by_id:
+            return
         self._entry_by_id[server_id]['state'] = 'draining'
         self._store_entry(server_id)
         self.draining_since_by_id.setdefault(server_id, time.monotonic())
 
     def start_node(self, host: str) -> None:
         """Start a node's process."""
+        self.add_disruption(host)
         path = self._folder / f'{host}.yaml'
         log = (self._folder / f'{host}.log').open('ab')
         self.process_by_host[host] = subprocess.Popen(
@@ -159,6 +205,7 @@
 
     def set_clock_offset(self, host: str, offset_s: float) -> None:
         """Set the offset of a node's wall clock."""
+        self.add_disruption(host)
         self._clock_path(host).write_text(str(offset_s))
 
     def _clock_path(self, host: str) -> pathlib.Path:
@@ -166,6 +213,8 @@
 
     def signal_node(self, host: str, number: signal.Signals) -> None:
         """Send a signal to a node's process if it is running."""
+        if number != signal.SIGHUP:
+            self.add_disruption(host)
         process = self.process_by_host[host]
         if process.poll() is None:
             process.send_signal(number)
--- a/tests/cover/relay/test_crash_attribution.py
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -54,7 +54,7 @@
     assert _blamed(crashes) == {'bad'}
 
 
-def test_victim_of_all_crashes_is_not_blamed_beside_a_worse_part():
+def test_victim_of_all_crashes_is_not_blamed():
     crashes = _crashes(*[{'bad', 'victim'}] * 3, {'bad'})
     assert _blamed(crashes) == {'bad'}
 
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -266,3 +266,33 @@
         assert answer.is_judged
         await trio.sleep(1.0)
     assert rig.dialer.connected_hosts.count(_PEER_HOST) == 2
+
+
+@relay_rig.with_rig
+async def test_dispatcher_refuses_a_part_that_ended_servers_of_all_nodes(rig):
+    """Guards against crashes that nodes only report later."""
+    call = _CALL._replace(part_ids=('bad', 'cc'), part_tokens=(900, 100))
+    for number in range(4):
+        rig.add_server('model', number, _stream_backend([]))
+        answer = rig.dispatcher.handle_call(call._replace(booking=number))
+        assert answer.is_quarantined == (number == 3)
+        note = messages.PlaceNote(number, messages.PlaceEvent.FAILED, 0, True)
+        (_, decoded) = messages.decode(messages.encode(1, note))
+        rig.dispatcher.handle_note(decoded)
+        rig.servers.handle_records([])
+        await trio.sleep(1.0)
+    assert answer.is_judged
+    assert not answer.server
+    assert answer.retry_after_ms > 500_000
+
+
+@relay_rig.with_rig
+async def test_refusal_for_a_part_reaches_the_caller_with_its_kind(rig):
+    rig.add_server('model', 1, _stream_backend([]))
+    rig.dispatcher.handle_call = lambda call: messages.PlaceAnswer(
+        '', 0, 0, 0, 0, 0, 'part bad', 9000, True, True
+    )
+    answer = await _send_request(rig)
+    assert relay_rig.status_code(answer) == 503
+    assert b'prompt-quarantined' in answer
+    assert b'retry-after: 9' in answer.lower()
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -4,6 +4,7 @@
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.http import sockets
+from foxtailrelay_node.internal.relay.state import topic_store
 import pytest
 import trio
 
@@ -92,6 +93,50 @@
     return clock, quarantine
 
 
+def test_nodes_that_see_one_crash_each_reach_a_verdict_together():
+    fleet = crash_fleet.CrashFleet(0, nodes=4)
+    fleet.start_gossip()
+    for node in range(3):
+        _crash(fleet.quarantines[node], f's{node}')
+        fleet.run(1.0)
+    assert all(q.find('m', ['bad']) for q in fleet.quarantines)
+
+
+def test_node_that_starts_minutes_later_learns_the_part():
+    fleet = crash_fleet.CrashFleet(0, nodes=2)
+    fleet.start_gossip()
+    for number in range(3):
+        _crash(fleet.quarantines[0], f's{number}')
+        fleet.run(1.0)
+    fleet.run(120.0)
+    fleet.restart_node(1)
+    fleet.run(1.0)
+    found = fleet.quarantines[1].find('m', ['bad'])
+    assert 400.0 < fleet.quarantines[1].remaining_s(found) < 600.0
+
+
+def test_answer_at_one_node_releases_the_part_at_all():
+    fleet = crash_fleet.CrashFleet(0, nodes=3)
+    fleet.start_gossip()
+    for number in range(3):
+        _crash(fleet.quarantines[0], f's{number}')
+        fleet.run(1.0)
+    fleet.quarantines[1].record_answer('m', ['bad'])
+    fleet.run(2.0)
+    assert not any(q.find('m', ['bad']) for q in fleet.quarantines)
+
+
+def test_part_answered_at_a_peer_needs_more_crashes():
+    """Guards against rare parts that one node sees only in crashes."""
+    fleet = crash_fleet.CrashFleet(0, nodes=2)
+    fleet.start_gossip()
+    fleet.quarantines[1].record_answer('m', ['rare'])
+    for number in range(4):
+        _crash(fleet.quarantines[0], f's{number}', ['rare'])
+        fleet.run(1.0)
+    assert fleet.quarantines[0].find('m', ['rare']) is None
+
+
 def test_quarantine_ends_after_ten_minutes():
     clock, quarantine = _quarantined()
     clock.now_s += 590.0
@@ -219,13 +264,16 @@
     assert len(requests) == 6
 
 
-async def _end_servers(rig, backend, prepare=lambda rig, index: None):
-    """End five servers under the same prompt; return whether it is blamed."""
+async def _end_servers(rig, backend):
+    """End five servers under one prompt; return whether a part is blamed."""
+    assert await _serve_sound(rig, 20) == 200
     for index in range(1, 6):
         rig.add_server('model', index, backend(rig, index))
         with trio.move_on_after(5.0):
             await _send(rig)
-        prepare(rig, index)
+        rig.servers.handle_records(
+            [topic_store.KeyedRecord(f's{index}', 100 + index, None)]
+        )
         await trio.sleep(1.0)
     return rig.quarantine.find('model', ['bad']) is not None
 
@@ -238,7 +286,7 @@
         async def serve(stream):
             await relay_rig.read_request(stream)
             await stream.send_all(_PARTIAL_STREAM)
-            (server,) = rig.servers.usable('model')
+            server = rig.servers.find_usable(f's{index}')
             rig.servers.departures.record_answer(server)
             del rig.dialer.backend_by_host[f'10.0.0.{index}']
             await stream.aclose()
@@ -251,7 +299,12 @@
 @relay_rig.with_rig
 async def test_reset_connection_of_a_running_engine_is_not_blamed(rig):
     def backend(rig, index):
-        return relay_rig.scripted_backend(_PARTIAL_STREAM)
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(_PARTIAL_STREAM)
+            await stream.aclose()
+
+        return serve
 
     assert not await _end_servers(rig, backend)
 
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -5,7 +5,9 @@
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import http_exchange
+from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import departure_notices
+from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.catalogue import route
@@ -21,6 +23,7 @@
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
+from foxtailrelay_node.internal.relay.policy import crash_attribution
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay.state import keyed_view
@@ -32,10 +35,12 @@
 
 from cover.relay import test_clocks as clocks
 from cover.relay import test_cluster_retry_budget as budgets
+from cover.relay import test_crash_attribution as attributions
 from cover.relay import test_dispatch as dispatches
 from cover.relay import test_gossip as gossips
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
+from cover.relay import test_prompt_quarantine as prompts
 from cover.relay import test_quota as quotas
 from cover.relay import test_request_guarantees as checks
 from cover.relay import test_server_list as lists
@@ -48,6 +53,13 @@
     return lambda *args, **kwargs: value
 
 
+def _always_async(value):
+    async def function(*args, **kwargs):
+        return value
+
+    return function
+
+
 def _set(owner, name, value):
     return lambda patch: patch.setattr(owner, name, value)
 
@@ -290,6 +302,52 @@
         lambda patch: patch.setattr(gossip, '_age_ms', _always(0)),
         gossips.test_a_copy_from_a_peer_is_no_fresher_than_at_the_peer,
     ),
+    'answers do not clear parts of prompts': (
+        _set(prompt_quarantine.PromptQuarantine, 'record_answer', _always(0)),
+        prompts.test_answer_releases_a_part,
+    ),
+    'nodes keep crashes to themselves': (
+        _set(prompt_quarantine.PromptQuarantine, 'build_crashes', _always(())),
+        prompts.test_nodes_that_see_one_crash_each_reach_a_verdict_together,
+    ),
+    'quarantines are not passed on': (
+        _set(
+            prompt_quarantine.PromptQuarantine,
+            'build_quarantined',
+            _always(()),
+        ),
+        prompts.test_node_that_starts_minutes_later_learns_the_part,
+    ),
+    'answers at other nodes do not clear parts': (
+        _set(
+            prompt_quarantine.PromptQuarantine, 'build_answered', _always(())
+        ),
+        prompts.test_part_answered_at_a_peer_needs_more_crashes,
+    ),
+    'a crash is blamed on every part of its prompt': (
+        _set(crash_attribution, '_rank', _always((0, True))),
+        attributions.test_victim_of_all_crashes_is_not_blamed,
+    ),
+    'a reset connection counts as an ended server': (
+        _set(
+            server_end_checker.ServerEndChecker,
+            '_is_refused',
+            _always_async(True),
+        ),
+        prompts.test_reset_connection_of_a_running_engine_is_not_blamed,
+    ),
+    'announced ends of servers are blamed on prompts': (
+        _set(departure_notices.DepartureNotices, 'is_leaving', _always(False)),
+        prompts.test_engine_that_announced_its_end_is_not_blamed_on_the_prompt,
+    ),
+    'long answers are blamed for the end of their server': (
+        _set(attempt_runner, '_CRASH_DELAY_S', math.inf),
+        prompts.test_engine_that_ends_late_in_an_answer_is_not_blamed,
+    ),
+    'answers that end with their connection are not checked': (
+        _set(backend_connection, '_is_close_delimited', _always(False)),
+        prompts.test_close_delimited_stream_of_a_crashed_engine_is_blamed,
+    ),
     'jumps of the wall clock are followed': (
         _set(corrected_clock, '_MAX_DRIFT_S', math.inf),
         clocks.test_jump_of_the_wall_clock_is_ignored,
