--- a/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
@@ -5,6 +5,7 @@
 
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _ID_LINE = re.compile(rb'^id:[ ]?(\d+)[ \t]*\r?$', re.MULTILINE)
+_MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -55,10 +56,12 @@
         EventTooLong
             If an incomplete event exceeds the maximum length.
         """
+        # An end that was not found before includes a byte of the new data.
+        first_end = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         self._buffer += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, first_end):
             event_data = bytes(self._buffer[start : match.end()])
             id_line = _ID_LINE.search(event_data)
             event_id = int(id_line.group(1)) if id_line else None
