--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -10,6 +10,7 @@
 # Bodies up to this length fit into the smallest send window, so sending them
 # first cannot block on a server that answers early.
 _MAX_SEND_FIRST_BYTES = 8192
+_MAX_INTERIM_ANSWERS = 16
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -102,7 +103,7 @@
         BackendConnectionError
             If the connection ends first or the answer is not valid HTTP.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.is_close_delimited = _is_close_delimited(event)
@@ -111,6 +112,9 @@
                 raise BackendConnectionError(
                     f'received {type(event).__name__} before the head'
                 )
+        raise BackendConnectionError(
+            f'received {_MAX_INTERIM_ANSWERS} interim answers before the head'
+        )
 
     async def receive_part(self) -> bytes | None:
         """Receive a part of the body, or None at its end.
