--- a/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/answer_head.py
@@ -1,5 +1,6 @@
 """The decoded head of a backend server's answer."""
 
+import math
 import typing
 
 
@@ -38,6 +39,9 @@
     quiet_s : float or None
         Seconds for which it accepts no requests of this node, if it refused
         the request and gave a period.
+    limit_per_s : float or None
+        Requests per second that it accepts from all nodes together; infinite
+        if it names no limit, and None if the limit is unreadable.
     """
 
     status: int
@@ -50,6 +54,7 @@
     load: ReportedLoad | None
     is_leaving: bool = False
     quiet_s: float | None = None
+    limit_per_s: float | None = math.inf
 
     @property
     def is_success(self) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
@@ -129,6 +129,10 @@
             return results.Broken(
                 f'the answer belongs to request {head.request_id}'
             )
+        if not head.is_other_instance:
+            self._context.servers.limits.record_answer(
+                server, head.limit_per_s
+            )
         if head.was_not_run or head.is_other_instance:
             self._progress.may_have_run = self._may_have_run_before
             reason = 'another server uses the address now'
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_limits.py
@@ -0,0 +1,99 @@
+"""Requests per second that backend servers accept from all nodes."""
+
+import math
+import typing
+
+import logbook
+
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay import clock as clocks
+
+_LOG = logbook.Logger('foxtailrelay.backends')
+InstanceKey = tuple[str, int]
+# An instance that has answered nobody for this time is forgotten.
+_RETENTION_S = 120.0
+
+
+class _Limit(typing.NamedTuple):
+    per_s: float
+    known_at_s: float
+    is_own: bool
+
+
+class ServerLimits:
+    """The newest limit that each instance has named in an answer.
+
+    A limit holds for all nodes together until an answer names another one or
+    none.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock for the ages of limits.
+
+    Examples
+    --------
+    >>> limits = ServerLimits(clock)
+    >>> limits.record_answer(server, 2.5)
+    >>> limits.per_s(server)
+    2.5
+    >>> limits.record_answer(server, math.inf)
+    >>> limits.per_s(server) is None
+    True
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._limit_by_key: dict[InstanceKey, _Limit] = {}
+
+    def per_s(self, server: backend_server.BackendServer) -> float | None:
+        """Return the limit of an instance, or None if it has none."""
+        limit = self._limit_by_key.get(server.instance_key)
+        if limit is None or limit.per_s == math.inf:
+            return None
+        return limit.per_s
+
+    def record_answer(
+        self, server: backend_server.BackendServer, per_s: float | None
+    ) -> None:
+        """Record what an answer of an instance says of its limit.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The instance that answered.
+        per_s : float or None
+            Requests per second, infinite for no limit; None if unreadable,
+            which changes nothing.
+        """
+        if per_s is None:
+            return
+        if per_s == math.inf and server.instance_key not in self._limit_by_key:
+            return
+        limit = _Limit(per_s, self._clock.boot_s(), True)
+        self._store(server.instance_key, limit, 'answer')
+
+    def _store(self, key: InstanceKey, limit: _Limit, source: str) -> None:
+        known = self._limit_by_key.get(key)
+        self._limit_by_key[key] = limit
+        if known is None or known.per_s != limit.per_s:
+            _LOG.info(
+                'server-limited',
+                extra={
+                    'server': key[0],
+                    'per_s': _loggable(limit.per_s),
+                    'before_per_s': _loggable(known.per_s if known else None),
+                    'by': source,
+                },
+            )
+        self._evict()
+
+    def _evict(self) -> None:
+        oldest_s = self._clock.boot_s() - _RETENTION_S
+        for key, limit in list(self._limit_by_key.items()):
+            if limit.known_at_s < oldest_s:
+                del self._limit_by_key[key]
+
+
+def _loggable(per_s: float | None) -> float | str:
+    return 'none' if per_s is None or per_s == math.inf else per_s
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -8,6 +8,7 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import quiet_periods
+from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_follower
@@ -55,6 +56,8 @@
         Servers that are leaving though their entry may not say so.
     quiet_periods : QuietPeriods
         Servers that accept no requests of this node for some time.
+    limits : ServerLimits
+        Requests per second that servers accept from all nodes.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self._clock = clock
         self.departures = departure_notices.DepartureNotices(clock)
         self.quiet_periods = quiet_periods.QuietPeriods(clock)
+        self.limits = server_limits.ServerLimits(clock)
         self._server_by_id: dict[str, backend_server.BackendServer] = {}
         self._lapsed_at_s_by_id: dict[str, float] = {}
 
