Keep the limits that backend servers name, over all nodes together

The newest limit of each instance is kept, from answers to this node and from its peers' reports, until an answer names another one or none. A dispatcher counts the requests of all nodes against it. Nodes that place requests by themselves share it by rendezvous hashing among as many nodes as it allows requests a second; a node that knows a limit which the dispatcher does not know places the request itself. A server whose limit is nearly zero gets a request now and then, since only an answer can end it. Callers that no server accepts are refused at once; all but the most urgent are told to return one after the other.

--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -312,6 +312,26 @@
     age_ms: int
 
 
+class ServerLimit(typing.NamedTuple):
+    """What an answer to the reporting node said of a server's limit.
+
+    Parameters
+    ----------
+    server, started_ms : str, int
+        Id and start of the instance.
+    age_ms : int
+        Milliseconds since the answer, when the report was built.
+    per_s : float
+        Requests per second that it accepts from all nodes; infinite if it
+        named no limit.
+    """
+
+    server: str
+    started_ms: int
+    age_ms: int
+    per_s: float
+
+
 class NodeReport(typing.NamedTuple):
     """Report of a node on its own state.
 
@@ -332,6 +352,8 @@
         announced their departure to this node.
     crashes, quarantined_parts, answered_parts : tuple
         Ended servers, and what is known of the parts of prompts.
+    limits : tuple of ServerLimit
+        Limits that servers named to this node.
     """
 
     zone: str
@@ -347,6 +369,7 @@
     crashes: tuple[Crash, ...] = ()
     quarantined_parts: tuple[QuarantinedPart, ...] = ()
     answered_parts: tuple[AnsweredPart, ...] = ()
+    limits: tuple[ServerLimit, ...] = ()
 
 
 class ReportCopy(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -168,6 +168,11 @@
   answeredServices @24 :List(Text);
   answeredParts @25 :List(Text);
   answeredAges @26 :List(UInt32);
+  limitServers @27 :List(Text);
+  limitStarts @28 :List(UInt64);
+  limitAges @29 :List(UInt32);
+  # Requests per second; infinite where the server no longer names a limit.
+  limitRates @30 :List(Float64);
 }
 
 struct TopicWant {
@@ -221,6 +226,7 @@
   retryAfterMs @7 :UInt32;
   isJudged @8 :Bool;
   isQuarantined @9 :Bool;
+  isCounted @10 :Bool;
 }
 
 struct PlaceNote {
--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -66,6 +66,8 @@
         False if the dispatcher lacked the state to decide.
     is_quarantined : bool
         Whether the request was refused for a part of its prompt.
+    is_counted : bool
+        Whether the request counts against the limit that the server named.
     """
 
     server: str
@@ -78,6 +80,7 @@
     retry_after_ms: int
     is_judged: bool
     is_quarantined: bool = False
+    is_counted: bool = False
 
 
 class PlaceEvent(enum.IntEnum):
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -37,6 +37,10 @@
         departureServers=[server for server, _ in report.departures],
         departureStarts=[started_ms for _, started_ms in report.departures],
         **_prompt_columns(report),
+        limitServers=[limit.server for limit in report.limits],
+        limitStarts=[limit.started_ms for limit in report.limits],
+        limitAges=[limit.age_ms for limit in report.limits],
+        limitRates=[limit.per_s for limit in report.limits],
     ).to_bytes_packed()
 
 
@@ -158,6 +162,16 @@
                 strict=True,
             )
         ),
+        tuple(
+            message_types.ServerLimit(*row)
+            for row in zip(
+                content.limitServers,
+                content.limitStarts,
+                content.limitAges,
+                content.limitRates,
+                strict=True,
+            )
+        ),
     )
 
 
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -41,6 +41,7 @@
 QuarantinedPart = message_types.QuarantinedPart
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
+ServerLimit = message_types.ServerLimit
 ServerLoad = message_types.ServerLoad
 Spend = message_types.Spend
 TopicMark = message_types.TopicMark
@@ -85,6 +86,7 @@
     'QuarantinedPart',
     'Refusal',
     'ReportCopy',
+    'ServerLimit',
     'ServerLoad',
     'Spend',
     'TopicMark',
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -93,6 +93,7 @@
                 self.lease,
                 view.servers.departures,
                 view.quarantine,
+                view.servers.limits,
             ),
             clock,
             settings.limit_window_s,
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_limits.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_limits.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from foxtailrelay_core import messages
 import logbook
 
 from foxtailrelay_node.internal.relay.backends import backend_server
@@ -11,7 +12,9 @@
 _LOG = logbook.Logger('foxtailrelay.backends')
 InstanceKey = tuple[str, int]
 # An instance that has answered nobody for this time is forgotten.
-_RETENTION_S = 120.0
+_RETENTION_S = 3600.0
+# Longer than a report takes to reach every node of a large cluster.
+_GOSSIP_S = 30.0
 
 
 class _Limit(typing.NamedTuple):
@@ -73,6 +76,36 @@
         limit = _Limit(per_s, self._clock.boot_s(), True)
         self._store(server.instance_key, limit, 'answer')
 
+    def build_limits(self) -> tuple[messages.ServerLimit, ...]:
+        """Return the recent limits named to this node, for its report."""
+        now_s = self._clock.boot_s()
+        return tuple(
+            messages.ServerLimit(
+                *key,
+                max(0, int((now_s - limit.known_at_s) * 1000)),
+                limit.per_s,
+            )
+            for key, limit in self._limit_by_key.items()
+            if limit.is_own and now_s - limit.known_at_s < _GOSSIP_S
+        )
+
+    def merge_peer_limits(
+        self,
+        limits: typing.Iterable[messages.ServerLimit],
+        made_at_s: float,
+        peer: str,
+    ) -> None:
+        """Merge limits that servers named to a peer; newer ones win."""
+        for entry in limits:
+            key = (entry.server, entry.started_ms)
+            known = self._limit_by_key.get(key)
+            known_at_s = made_at_s - entry.age_ms / 1000
+            if known is not None and known.known_at_s >= known_at_s:
+                continue
+            if known is None and entry.per_s == math.inf:
+                continue
+            self._store(key, _Limit(entry.per_s, known_at_s, False), peer)
+
     def _store(self, key: InstanceKey, limit: _Limit, source: str) -> None:
         known = self._limit_by_key.get(key)
         self._limit_by_key[key] = limit
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.dispatch import limit_allowances
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.policy import demand as demands
 from foxtailrelay_node.internal.relay.policy import model_placer
@@ -91,6 +92,9 @@
         self._quarantine = quarantine
         self._clock = clock
         self._loads = load_tracker.LoadTracker(clock)
+        self._allowances = limit_allowances.LimitAllowances(
+            servers.limits, clock
+        )
         self._placer = model_placer.ModelPlacer(model_placer.DISPATCHER_POLICY)
         self._reservation_by_id: dict[int, _Reservation] = {}
         self._overload_by_service: dict[str, _Overload] = {}
@@ -112,16 +116,26 @@
         if quarantine is not None:
             return self._refuse_quarantined(quarantine)
         excluded = set(call.excluded)
+        accepting, at_limit = self._allowances.split(
+            server for server in servers if server.id not in excluded
+        )
+        if at_limit and not accepting:
+            result = placement_result.NotPlaced(
+                limit_allowances.WHY,
+                self._allowances.refuse(at_limit, call.urgency),
+                True,
+            )
+            return _build_refusal(result, result.retry_after_s)
         views = [
             self._loads.view(server, parts, service.model.kv_capacity_tokens)
-            for server in servers
-            if server.id not in excluded
+            for server in accepting
         ]
         result = self._placer.place(_build_demand(call, parts), views)
         if isinstance(result, placement_result.NotPlaced):
             return self._refuse(call.service, result)
         self._reserve(call, parts, result)
-        return _build_answer(result)
+        is_counted = self._allowances.spend(result.view.server)
+        return _build_answer(result)._replace(is_counted=is_counted)
 
     def handle_note(self, note: messages.PlaceNote) -> None:
         """Update the reservation that a note belongs to."""
@@ -207,11 +221,7 @@
         overload_age_s = now_s - overload.started_at_s
         delay_s = min(_MAX_RETRY_AFTER_S, _RETRY_AFTER_SHARE * overload_age_s)
         delay_s = max(_MIN_RETRY_AFTER_S, result.retry_after_s, delay_s)
-        return NO_DECISION._replace(
-            why=result.why,
-            retry_after_ms=int(delay_s * 1000),
-            is_judged=True,
-        )
+        return _build_refusal(result, delay_s)
 
     def _refuse_quarantined(
         self, quarantine: prompt_quarantine.Quarantine
@@ -259,6 +269,14 @@
     )
 
 
+def _build_refusal(
+    result: placement_result.NotPlaced, delay_s: float
+) -> messages.PlaceAnswer:
+    return NO_DECISION._replace(
+        why=result.why, retry_after_ms=int(delay_s * 1000), is_judged=True
+    )
+
+
 def _build_answer(result: placement_result.Placed) -> messages.PlaceAnswer:
     view = result.view
     return messages.PlaceAnswer(
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
@@ -3,6 +3,7 @@
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.peers import peer_table
+from foxtailrelay_node.internal.relay.policy import limit_share as limit_shares
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 
 # A dispatcher must have at least this share of the CPU capacity of the most
@@ -73,6 +74,15 @@
                 best, best_weight = peer, weight
         return best
 
+    def limit_share(self, server_id: str, limit_per_s: float) -> float:
+        """Return this node's share of a server's limit for all nodes."""
+        return limit_shares.limit_share(
+            server_id,
+            limit_per_s,
+            self._identity.node_id,
+            [peer.copy.node_id for peer in self._peers.live()],
+        )
+
     def record_answer(self, peer: peer_table.PeerReport) -> None:
         """Reset the count of timeouts of a dispatcher."""
         self._timeout_count_by_start_id.pop(peer.start_id, None)
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -11,10 +11,12 @@
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay.catalogue import service as services
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
+from foxtailrelay_node.internal.relay.dispatch import limit_allowances
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import peer_table
@@ -92,6 +94,9 @@
             model_placer.LOCAL_POLICY
         )
         self._plain_placer = plain_placer.PlainPlacer()
+        self._allowances = limit_allowances.LimitAllowances(
+            servers.limits, clock, selector.limit_share
+        )
 
     async def place(
         self, job: jobs.Job, excluded: set[str], urgency: int, is_retry: bool
@@ -123,23 +128,49 @@
                 job, excluded, urgency, is_retry
             )
         if result is None:
-            kv_capacity_tokens = (
-                service.model.kv_capacity_tokens if is_model else 0
+            result = self._place_here(
+                job, service, excluded, urgency, is_retry
             )
-            parts = job.request.prompt_parts
-            views = [
-                self._loads.view(server, parts, kv_capacity_tokens)
-                for server in self._servers.usable(job.service)
-                if server.id not in excluded
-            ]
-            demand = self._build_demand(job, urgency, is_retry)
-            placer = self._model_placer if is_model else self._plain_placer
-            result = placer.place(demand, views)
             by = 'self'
         self._metrics.placements.labels(job.service, by).inc()
         self._log_result(job, result, by)
         return result
 
+    def _place_here(
+        self,
+        job: jobs.Job,
+        service: services.Service | None,
+        excluded: set[str],
+        urgency: int,
+        is_retry: bool,
+    ) -> _Result:
+        """Choose a server by this node's own view."""
+        accepting, at_limit = self._allowances.split(
+            server
+            for server in self._servers.usable(job.service)
+            if server.id not in excluded
+        )
+        if at_limit and not accepting:
+            return placement_result.NotPlaced(
+                limit_allowances.WHY,
+                self._allowances.refuse(at_limit, urgency),
+                True,
+            )
+        placer, kv_capacity_tokens = self._plain_placer, 0
+        if service is not None and service.model is not None:
+            placer = self._model_placer
+            kv_capacity_tokens = service.model.kv_capacity_tokens
+        parts = job.request.prompt_parts
+        views = [
+            self._loads.view(server, parts, kv_capacity_tokens)
+            for server in accepting
+        ]
+        demand = self._build_demand(job, urgency, is_retry)
+        result = placer.place(demand, views)
+        if isinstance(result, placement_result.Placed):
+            self._allowances.spend(result.view.server)
+        return result
+
     async def _place_by_dispatcher(
         self, job: jobs.Job, excluded: set[str], urgency: int, is_retry: bool
     ) -> tuple[_Result | None, str]:
@@ -205,9 +236,17 @@
                 answer.is_quarantined,
             )
         server = self._servers.find_usable(answer.server)
-        if server is None or self._servers.quiet_periods.remaining_s(server):
+        if (
+            server is None
+            or self._servers.quiet_periods.remaining_s(server)
+            or (
+                not answer.is_counted
+                and self._servers.limits.per_s(server) is not None
+            )
+        ):
             # Listed only at the dispatcher, or leaving; or it refused another
-            # request of this node in the meantime.
+            # request of this node in the meantime, or named a limit that the
+            # dispatcher does not know yet.
             reservation.record_end(messages.PlaceEvent.LEFT)
             return None
         view = server_view.ServerView(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -73,6 +74,7 @@
     lease: lease_view.LeaseView
     departures: departure_notices.DepartureNotices
     quarantine: prompt_quarantine.PromptQuarantine
+    limits: server_limits.ServerLimits
 
 
 class PendingTopics(typing.NamedTuple):
@@ -155,6 +157,7 @@
             state.quarantine.build_crashes(),
             state.quarantine.build_quarantined(),
             state.quarantine.build_answered(),
+            state.limits.build_limits(),
         )
         self._sequence += 1
         self._built_at_s = now_s
@@ -351,6 +354,9 @@
         state.quarantine.merge_peer_report(
             peer.report, peer.made_at_s, peer.copy.node_id
         )
+        state.limits.merge_peer_limits(
+            peer.report.limits, peer.made_at_s, peer.copy.node_id
+        )
         state.departures.record_peer_notices(
             peer.report.departures, peer.copy.node_id
         )
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -51,7 +51,7 @@
             self._replace_engine, self._configure,
             self._compact, self._step_clock, self._restore_store,
             self._leaving_engine, self._quiet_engine,
-            self._crashing_prompts,
+            self._crashing_prompts, self._limited_engine,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -218,6 +218,17 @@
         await trio.sleep(seconds)
         self._cluster.crashing_parts.discard(part)
 
+    async def _limited_engine(self, nursery) -> None:
+        """Let a server name a limit for all nodes, change and end it."""
+        server_id = self._rng.choice(sorted(self._cluster.engine_by_id))
+        for _ in range(self._rng.choice([1, 1, 2])):
+            per_s = self._rng.choice([0.0, 0.5, 1.0, 3.0])
+            self._record(f'{server_id} names a limit of {per_s:g} a second')
+            self._cluster.set_limit(server_id, per_s)
+            await trio.sleep(self._rng.uniform(4.0, 10.0))
+        self._record(f'{server_id} no longer names a limit')
+        self._cluster.set_limit(server_id, None)
+
     async def _compact(self, nursery) -> None:
         self._record('store compacts its topics')
         for topic in ('keyed.op', 'keyed.servers'):
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,8 @@
 _CONTACT_S = 3.0
 _MAX_LATE_CRASHES = 3
 _MIN_SOUND = 20
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_EXTRA = 5
 
 
 def find_violations(
@@ -33,6 +35,7 @@
     )
     violations += _check_duties(cluster)
     violations += _check_crashing_parts(cluster, records)
+    violations += _check_limits(cluster, records)
     return violations
 
 
@@ -139,6 +142,50 @@
     return []
 
 
+def _check_limits(
+    cluster: soak_clusters.SoakCluster,
+    records: typing.Sequence[callers.RequestRecord],
+) -> list[str]:
+    """Check that servers get no more than they accept from all nodes.
+
+    All nodes that are in touch count, whether the server told them or not.
+    """
+    record_by_id = {record.request_id: record for record in records}
+    violations = []
+    for server_id, changes in cluster.limit_changes_by_id.items():
+        for change, following in zip(
+            changes, [*changes[1:], None], strict=True
+        ):
+            if change.per_s is None:
+                continue
+            until_s = following.at_s if following else math.inf
+            times = [
+                at_s
+                for at_s, request_id in (
+                    cluster.engine_by_id[server_id].arrivals
+                )
+                if change.at_s + _CONTACT_S <= at_s < until_s
+                and _is_in_touch(cluster, record_by_id[request_id], at_s)
+            ]
+            most = max(
+                (
+                    sum(
+                        start <= at_s < start + _LIMIT_WINDOW_S
+                        for at_s in times
+                    )
+                    for start in times
+                ),
+                default=0,
+            )
+            allowed = 1.5 * change.per_s * _LIMIT_WINDOW_S + _LIMIT_EXTRA
+            if most > allowed:
+                violations.append(
+                    f'{server_id} with a limit of {change.per_s:g} a second '
+                    f'got {most} requests in 4 s; {allowed:g} are allowed'
+                )
+    return violations
+
+
 def _check_duties(cluster: soak_clusters.SoakCluster) -> list[str]:
     violations = []
     counts_by_window: dict[int, dict[str, int]] = {}
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -41,6 +41,13 @@
     until_s: float
 
 
+class LimitChange(typing.NamedTuple):
+    """A limit that a backend server names from a time on, or None."""
+
+    at_s: float
+    per_s: float | None
+
+
 class SoakCluster:
     """Node processes, stand-in servers, and the proxies between them.
 
@@ -65,6 +72,7 @@
         self.proxy_by_engine: dict[str, fault_proxy.FaultProxy] = {}
         self.process_by_host: dict[str, subprocess.Popen] = {}
         self.crashing_parts: set[bytes] = set()
+        self.limit_changes_by_id: dict[str, list[LimitChange]] = {}
         self.disruptions: list[Disruption] = []
         self.version = 7
         self.revoked_at_s = float('inf')
@@ -155,6 +163,13 @@
         name = f'{server_id[0]}x{self._crash_count}'
         await self.add_engine(nursery, 'model', name)
 
+    def set_limit(self, server_id: str, per_s: float | None) -> None:
+        """Let a backend server name a limit, or none."""
+        self.engine_by_id[server_id].limit_per_s = per_s
+        self.limit_changes_by_id.setdefault(server_id, []).append(
+            LimitChange(time.monotonic(), per_s)
+        )
+
     def add_disruption(self, host: str, seconds: float = 0.0) -> None:
         """Record that a node cannot do its work from now on."""
         now_s = time.monotonic()
--- a/tests/common/engine_fleet.py
+++ b/tests/common/engine_fleet.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay.catalogue import service as services
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
@@ -164,7 +165,8 @@
 class _ServerList:
     """The part of ``ServerList`` that a dispatcher uses."""
 
-    def __init__(self, engines: list[SimulatedEngine]) -> None:
+    def __init__(self, engines: list[SimulatedEngine], clock) -> None:
+        self.limits = server_limits.ServerLimits(clock)
         self._servers = [engine.server for engine in engines]
 
     def usable(self, service: str) -> list[backend_server.BackendServer]:
@@ -222,7 +224,7 @@
             profile = services.ModelProfile(slots, _KV_CAPACITY_TOKENS)
             service = services.Service('m', profile, None)
             self._dispatcher = dispatcher.Dispatcher(
-                _ServerList(engines),
+                _ServerList(engines, self.clock),
                 _State(_Table({'m': service})),
                 prompt_quarantine.PromptQuarantine(self.clock),
                 self.clock,
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -296,3 +296,45 @@
     assert relay_rig.status_code(answer) == 503
     assert b'prompt-quarantined' in answer
     assert b'retry-after: 9' in answer.lower()
+
+
+@relay_rig.with_rig
+async def test_dispatcher_keeps_the_limit_of_an_engine(rig):
+    """Guards against nodes that are sent to an engine beyond its limit."""
+    rig.add_server('model', 1, _stream_backend([]))
+    (server,) = rig.servers.usable('model')
+    rig.servers.limits.record_answer(server, 2.0)
+    start_s = trio.current_time()
+    placed = 0
+    for number in range(200):
+        answer = rig.dispatcher.handle_call(_CALL._replace(booking=number))
+        placed += bool(answer.server)
+        assert answer.is_counted == bool(answer.server)
+        if not answer.server:
+            assert answer.is_judged
+            assert answer.retry_after_ms > 0
+        await trio.sleep(0.02)
+    seconds = trio.current_time() - start_s
+    assert 0.7 * 2.0 * seconds <= placed <= 1.5 * 2.0 * seconds + 5
+
+
+@relay_rig.with_rig
+async def test_node_knows_a_limit_that_the_dispatcher_does_not(rig):
+    """Guards against a limit that is broken until reports arrive."""
+    requests = []
+    head = relay_rig.stream_head().replace(
+        b'Response-Seal', b'Server-Limit: 0\r\nResponse-Seal'
+    )
+    event = relay_rig.encode_chunk(relay_rig.encode_event(1))
+    answer = head + event + relay_rig.LAST_CHUNK
+    rig.add_server(
+        'model',
+        1,
+        relay_rig.scripted_backend(*[answer] * 9, requests=requests),
+    )
+    rig.dispatcher.handle_call = lambda call: messages.PlaceAnswer(
+        's1', 20_000, 900, 0, 0, 100, 'soonest', 0, True
+    )
+    for _ in range(5):
+        await _send_request(rig)
+    assert len(requests) <= 2
--- a/tests/cover/relay/test_gossip.py
+++ b/tests/cover/relay/test_gossip.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay.catalogue import organisation
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -48,6 +49,7 @@
         self.loads = load_tracker.LoadTracker(clock)
         self.lease = lease_view.LeaseView(clock)
         self.departures = departure_notices.DepartureNotices(clock)
+        self.limits = server_limits.ServerLimits(clock)
         self.quarantine = prompt_quarantine.PromptQuarantine(clock)
         self.gossip = gossip_module.Gossip(
             gossip_module.Identity(
@@ -63,6 +65,7 @@
                 self.lease,
                 self.departures,
                 self.quarantine,
+                self.limits,
             ),
             clock,
             8.0,
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -90,6 +90,10 @@
     trio.run(main)
 
 
+class _NoServers:
+    limits = None
+
+
 class _Server:
     """A node's side of gossip connections."""
 
@@ -97,7 +101,7 @@
         clock = fake_clocks.TrioClock()
         self.node = test_gossip._Node('n1', clock)
         rig_dispatcher = dispatcher.Dispatcher(
-            None,
+            _NoServers(),
             _NoState(),
             prompt_quarantine.PromptQuarantine(clock),
             clock,
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -2,6 +2,7 @@
 
 import math
 
+from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import http_exchange
@@ -9,11 +10,13 @@
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import quiet_periods
+from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.catalogue import route
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
+from foxtailrelay_node.internal.relay.dispatch import limit_allowances
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import lease_manager
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -24,6 +27,7 @@
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import crash_attribution
+from foxtailrelay_node.internal.relay.policy import limit_share
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay.state import keyed_view
@@ -43,6 +47,7 @@
 from cover.relay import test_prompt_quarantine as prompts
 from cover.relay import test_quota as quotas
 from cover.relay import test_request_guarantees as checks
+from cover.relay import test_server_limits as limits
 from cover.relay import test_server_list as lists
 from cover.relay import test_server_notices as notices
 from cover.relay import test_stream_guarantees as streams
@@ -53,6 +58,14 @@
     return lambda *args, **kwargs: value
 
 
+_original_record_answer = server_limits.ServerLimits.record_answer
+
+
+def _keep_limit(self, server, per_s):
+    if per_s is not None and per_s < math.inf:
+        _original_record_answer(self, server, per_s)
+
+
 def _always_async(value):
     async def function(*args, **kwargs):
         return value
@@ -348,6 +361,28 @@
         _set(backend_connection, '_is_close_delimited', _always(False)),
         prompts.test_close_delimited_stream_of_a_crashed_engine_is_blamed,
     ),
+    'nodes do not share the limit of a server': (
+        _set(limit_share, 'limit_share', _always(1.0)),
+        lambda: limits.test_nodes_without_a_dispatcher_keep_the_limit(
+            0, 1.0, 66, 3.0
+        ),
+    ),
+    'the limit of a server is ignored': (
+        _set(limit_allowances.LimitAllowances, 'wait_s', _always(0.0)),
+        limits.test_requests_beyond_a_limit_go_to_another_server,
+    ),
+    'a limit that is no longer named stays': (
+        _set(server_limits.ServerLimits, 'record_answer', _keep_limit),
+        lambda: limits.test_raised_limit_and_end_of_a_limit_are_used(0),
+    ),
+    'a limit of zero is never tried again': (
+        _set(limit_allowances, '_MIN_PER_S', 0.0),
+        lambda: limits.test_raised_limit_and_end_of_a_limit_are_used(0),
+    ),
+    'a dispatcher that does not know a limit is followed': (
+        _set(messages.PlaceAnswer, 'is_counted', True),
+        dispatches.test_node_knows_a_limit_that_the_dispatcher_does_not,
+    ),
     'jumps of the wall clock are followed': (
         _set(corrected_clock, '_MAX_DRIFT_S', math.inf),
         clocks.test_jump_of_the_wall_clock_is_ignored,
