Bound the reports of crashes whatever callers put into their prompts

Ids of parts are chosen by callers, up to the limit of a header each; a hundred crashes with long ids would have made reports of megabytes. Long ids are replaced by their hash, and a report holds at most 500 parts, newest crashes first. Ids are compared in lower case.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
@@ -6,6 +6,7 @@
 
 from foxtailrelay_core import messages
 import logbook
+import xxhash
 
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.policy import crash_attribution
@@ -31,10 +32,12 @@
 _RECENTLY_ANSWERED_S = 5.0
 # Limits of the memory of a long-lived node, and of the size of its reports.
 _MAX_CRASHES = 500
-_MAX_ANSWERED = 20_000
+_MAX_ANSWERED = 5000
 _MAX_QUARANTINED = 1000
-_MAX_PARTS_PER_CRASH = 100
 _MAX_REPORTED = 100
+_MAX_REPORTED_CRASH_PARTS = 500
+# Longer ids of parts, which callers choose, are replaced by their hash.
+_MAX_ID_LENGTH = 32
 
 
 class Quarantine(typing.NamedTuple):
@@ -127,7 +130,7 @@
         records = self._records_by_service.get(service)
         if records is None:
             return None
-        for part_id in part_ids:
+        for part_id in _keys(part_ids):
             quarantine = records.quarantine_by_part.get(part_id)
             if quarantine is None:
                 continue
@@ -173,7 +176,7 @@
         answered = records.own_answered_at_s_by_part
         suspected = frozenset(
             part_id
-            for part_id in part_ids
+            for part_id in _keys(part_ids)
             if answered.get(part_id, -math.inf) < oldest_s
         )
         self._add_crash(
@@ -187,27 +190,33 @@
         """Record a complete answer, which clears the parts of its prompt."""
         records = self._records(service)
         now_s = self._clock.boot_s()
-        for part_id in part_ids:
+        for part_id in _keys(part_ids):
             _store_newest(records.own_answered_at_s_by_part, part_id, now_s)
             self._clear(service, records, part_id, now_s, 'answered')
 
     def build_crashes(self) -> tuple[messages.Crash, ...]:
         """Return recent crashes under this node's requests, for its report."""
         now_s = self._clock.boot_s()
-        crashes = [
-            messages.Crash(
-                *instance_key,
-                service,
-                _to_ms(now_s - crash.at_s),
-                tuple(sorted(crash.part_ids)[:_MAX_PARTS_PER_CRASH]),
-            )
+        recent = [
+            (crash.at_s, service, key, crash.part_ids)
             for service, records in self._records_by_service.items()
-            for instance_key, crash in records.crash_by_instance.items()
+            for key, crash in records.crash_by_instance.items()
             if crash.is_own
             and crash.part_ids
             and now_s - crash.at_s < _GOSSIP_S
         ]
-        return tuple(crashes[-_MAX_REPORTED:])
+        crashes = []
+        part_count = 0
+        for at_s, service, key, part_ids in sorted(recent, reverse=True):
+            part_count += len(part_ids)
+            if part_count > _MAX_REPORTED_CRASH_PARTS:
+                break
+            crashes.append(
+                messages.Crash(
+                    *key, service, _to_ms(now_s - at_s), tuple(part_ids)
+                )
+            )
+        return tuple(crashes)
 
     def build_quarantined(self) -> tuple[messages.QuarantinedPart, ...]:
         """Return the parts in quarantine, for this node's report."""
@@ -453,6 +462,15 @@
         return self._records_by_service[service]
 
 
+def _keys(part_ids: typing.Iterable[str]) -> typing.Iterator[str]:
+    """Return the ids in lower case, and hashes of long ones."""
+    for part_id in part_ids:
+        if len(part_id) <= _MAX_ID_LENGTH:
+            yield part_id.lower()
+        else:
+            yield xxhash.xxh64_hexdigest(part_id.lower().encode())
+
+
 def _store_newest(
     at_s_by_part: collections.OrderedDict[str, float],
     part_id: str,
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -159,6 +159,25 @@
     assert quarantine.find('other', ['bad']) is None
 
 
+def test_ids_are_compared_whatever_their_case_and_length():
+    long_id = 'ab' * 2000
+    quarantine = prompt_quarantine.PromptQuarantine(fake_clocks.ManualClock())
+    for number in range(5):
+        _crash(quarantine, f's{number}', [long_id])
+    assert quarantine.find('m', [long_id.upper()])
+
+
+def test_reports_of_crashes_stay_small():
+    """Guards against long prompts that fill the reports of all nodes."""
+    quarantine = prompt_quarantine.PromptQuarantine(fake_clocks.ManualClock())
+    for number in range(200):
+        parts = [f'{number:x}{index:x}' + 'a' * 400 for index in range(40)]
+        _crash(quarantine, f's{number}', parts)
+    crashes = quarantine.build_crashes()
+    assert 0 < len(crashes)
+    assert sum(len(''.join(crash.part_ids)) for crash in crashes) < 10_000
+
+
 def test_answer_releases_a_part():
     _, quarantine = _quarantined()
     quarantine.record_answer('m', ['bad'])
