--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
@@ -15,6 +15,9 @@
 # Bounds of the delay before a refused caller may return.
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
+# Where the limits belong to other nodes: a caller that comes back reaches
+# another node.
+_OTHER_NODE_RETRY_AFTER_S = 0.3
 WHY = 'all usable servers have reached the limits that they named'
 
 
@@ -90,7 +93,8 @@
         The most urgent callers return for the next request that a server
         accepts.  The others return one after the other at the rate that the
         servers accept together, in the order in which they were refused, so
-        that they are not refused again.
+        that they are not refused again.  A node without a share of any limit
+        sends them back soon, since another node may serve them.
 
         Returns
         -------
@@ -103,7 +107,9 @@
             (self.wait_s(server) for server in servers), default=math.inf
         )
         per_s = sum(self._own_per_s(server) or 0.0 for server in servers)
-        if urgency > 0 and per_s > 0:
+        if per_s == 0:
+            return _OTHER_NODE_RETRY_AFTER_S
+        if urgency > 0:
             self._last_return_s = min(
                 max(now_s + next_s, self._last_return_s + 1 / per_s),
                 now_s + _MAX_RETRY_AFTER_S,
--- a/tests/cover/relay/test_server_limits.py
+++ b/tests/cover/relay/test_server_limits.py
@@ -134,6 +134,18 @@
     assert allowances.refuse([_SERVER], 0) <= delays[0]
 
 
+def test_callers_of_a_node_without_a_share_return_soon():
+    """Guards against callers that wait although another node serves them."""
+    clock = fake_clocks.ManualClock()
+    limits = server_limits.ServerLimits(clock)
+    limits.record_answer(_SERVER, 2.0)
+    allowances = limit_allowances.LimitAllowances(
+        limits, clock, lambda *_: 0.0
+    )
+    assert allowances.wait_s(_SERVER) == math.inf
+    assert allowances.refuse([_SERVER], 1) <= 0.5
+
+
 def test_another_start_of_a_server_has_no_limit():
     limits = server_limits.ServerLimits(fake_clocks.ManualClock())
     limits.record_answer(_SERVER, 2.0)
