Blame prompts also for engines that had asked for a pause and ended

A crash was ignored while the engine's quiet period for this node ran: an engine that refuses one request and then ends under another gave no evidence. Only engines that are leaving or removed are left out now. The test fails on the code before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -309,8 +309,11 @@
         result: results.Result,
     ) -> bool:
         """Whether the server ended while it may have begun this answer."""
-        if not job.shared_part_ids or not self._context.servers.is_usable(
-            server
+        listed = self._context.servers.find_usable(server.id)
+        if (
+            not job.shared_part_ids
+            or listed is None
+            or listed.instance_key != server.instance_key
         ):
             return False
         match result:
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -368,6 +368,24 @@
     assert await _end_servers(rig, backend)
 
 
+@relay_rig.with_rig
+async def test_engine_that_asked_for_a_pause_and_ended_is_blamed(rig):
+    """Guards against crashes that are missed after a refusal."""
+
+    def backend(rig, index):
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(_PARTIAL_STREAM)
+            server = rig.servers.find_usable(f's{index}')
+            rig.servers.quiet_periods.record_refusal(server, 0.5)
+            del rig.dialer.backend_by_host[f'10.0.0.{index}']
+            await stream.aclose()
+
+        return serve
+
+    assert await _end_servers(rig, backend)
+
+
 class _SilentDialer(sockets.Dialer):
     async def connect(self, host, port):
         await trio.sleep_forever()
