Use engines without a limit where no dispatcher answers

A node whose dispatcher is slow placed requests within its own share of a limit while the dispatcher used the whole of it. The test fails on the code before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
@@ -83,6 +83,12 @@
             chosen.append(server)
         return accepting, waiting
 
+    def without_limit(
+        self, servers: typing.Iterable[backend_server.BackendServer]
+    ) -> list[backend_server.BackendServer]:
+        """Return the servers that have named no limit."""
+        return [s for s in servers if self._limits.per_s(s) is None]
+
     def refuse(
         self,
         servers: typing.Iterable[backend_server.BackendServer],
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -159,6 +159,8 @@
         placer, kv_capacity_tokens = self._plain_placer, 0
         if service is not None and service.model is not None:
             placer = self._model_placer
+            # The dispatcher may use their limits up.
+            accepting = self._allowances.without_limit(accepting) or accepting
             kv_capacity_tokens = service.model.kv_capacity_tokens
         parts = job.request.prompt_parts
         views = [
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -338,3 +338,23 @@
     for _ in range(5):
         await _send_request(rig)
     assert len(requests) <= 2
+
+
+@relay_rig.with_rig
+async def test_without_a_dispatcher_engines_without_a_limit_are_preferred(rig):
+    """Guards against a limit used by nodes and by a slow dispatcher."""
+
+    async def unresponsive(stream):
+        async for _ in stream:
+            pass
+
+    _add_peer(rig, unresponsive)
+    limited = []
+    rig.add_server('model', 1, _stream_backend(limited))
+    (server,) = rig.servers.usable('model')
+    rig.servers.limits.record_answer(server, 100.0)
+    # After two timeouts the node is the dispatcher, and counts the limit.
+    for _ in range(2):
+        rig.add_server('model', 2, _stream_backend([]))
+        assert relay_rig.status_code(await _send_request(rig)) == 200
+    assert limited == []
