Let the soak's servers send answers without framing or without end

Kinds: answers with neither a length nor chunks, streams that end inside an event, heads and bodies without end. Callers' bodies are compared as before, and no node may read more than 32 MB of one answer.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -8,6 +8,7 @@
 
 from soak import fault_proxy
 from soak import soak_cluster as soak_clusters
+from standin import engine
 
 _STORE_MODES = ('busy', 'many', 'reset', 'silent')
 _RESTART_DELAY_S = 0.3
@@ -52,6 +53,7 @@
             self._compact, self._step_clock, self._restore_store,
             self._leaving_engine, self._quiet_engine,
             self._crashing_prompts, self._limited_engine,
+            self._odd_answers,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -229,6 +231,15 @@
         self._record(f'{server_id} no longer names a limit')
         self._cluster.set_limit(server_id, None)
 
+    async def _odd_answers(self, nursery) -> None:
+        """Let a server send answers without framing, or without end."""
+        server_id = self._rng.choice(sorted(self._cluster.engine_by_id))
+        form = self._rng.choice(list(engine.AnswerForm)[1:])
+        self._record(f'answers of {server_id} are {form.value}')
+        self._cluster.engine_by_id[server_id].form = form
+        await trio.sleep(self._rng.uniform(0.5, 4.0))
+        self._cluster.engine_by_id[server_id].form = engine.AnswerForm.FRAMED
+
     async def _compact(self, nursery) -> None:
         self._record('store compacts its topics')
         for topic in ('keyed.op', 'keyed.servers'):
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -15,6 +15,8 @@
 _MIN_SOUND = 20
 _LIMIT_WINDOW_S = 4.0
 _LIMIT_EXTRA = 5
+# What a node collects of one answer, and the buffers of two connections.
+_MAX_ENDLESS_BYTES = 32 << 20
 
 
 def find_violations(
@@ -36,6 +38,7 @@
     violations += _check_duties(cluster)
     violations += _check_crashing_parts(cluster, records)
     violations += _check_limits(cluster, records)
+    violations += _check_endless_answers(cluster)
     return violations
 
 
@@ -186,6 +189,16 @@
     return violations
 
 
+def _check_endless_answers(cluster: soak_clusters.SoakCluster) -> list[str]:
+    """Check that nodes close connections with bytes that never end."""
+    return [
+        f'a node read {sent} bytes without end from {server_id}'
+        for server_id, server in cluster.engine_by_id.items()
+        for sent in server.endless_bytes
+        if sent > _MAX_ENDLESS_BYTES
+    ]
+
+
 def _check_duties(cluster: soak_clusters.SoakCluster) -> list[str]:
     violations = []
     counts_by_window: dict[int, dict[str, int]] = {}
