Count crashes also right after an answer; blame the rarest of equal parts

Where all engines end, first parts have the same crashes as the bad one; the part with fewest answers is blamed now.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
@@ -27,9 +27,6 @@
 # A peer's quarantine that ends later by less is the same one, known with the
 # delay of its report.
 _MIN_EXTENSION_S = 2.0
-# Parts that this node received an answer for within this time are sound, and
-# left out of its evidence.
-_RECENTLY_ANSWERED_S = 5.0
 # Limits of the memory of a long-lived node, and of the size of its reports.
 _MAX_CRASHES = 500
 _MAX_ANSWERED = 5000
@@ -92,6 +89,9 @@
         self.own_answered_at_s_by_part: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self.answer_count_by_part: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.quarantine_by_part: dict[str, Quarantine] = {}
         self.release_by_part: dict[str, _Release] = {}
 
@@ -172,13 +172,7 @@
         """
         records = self._records(service)
         now_s = self._clock.boot_s()
-        oldest_s = now_s - _RECENTLY_ANSWERED_S
-        answered = records.own_answered_at_s_by_part
-        suspected = frozenset(
-            part_id
-            for part_id in _keys(part_ids)
-            if answered.get(part_id, -math.inf) < oldest_s
-        )
+        suspected = frozenset(_keys(part_ids))
         self._add_crash(
             records, instance_key, _Crash(now_s, suspected, is_own)
         )
@@ -192,6 +186,7 @@
         now_s = self._clock.boot_s()
         for part_id in _keys(part_ids):
             _store_newest(records.own_answered_at_s_by_part, part_id, now_s)
+            records.answer_count_by_part[part_id] += 1
             self._clear(service, records, part_id, now_s, 'answered')
 
     def build_crashes(self) -> tuple[messages.Crash, ...]:
@@ -367,6 +362,9 @@
         for quarantine in list(records.quarantine_by_part.values()):
             if quarantine.until_s <= now_s:
                 self._expire(service, records, quarantine)
+        for part_id in list(records.answer_count_by_part):
+            if part_id not in records.own_answered_at_s_by_part:
+                del records.answer_count_by_part[part_id]
         oldest_s = now_s - _EVIDENCE_S
         for key, crash in list(records.crash_by_instance.items()):
             if crash.at_s < oldest_s:
@@ -378,6 +376,7 @@
             ),
             records.answered_at_s_by_part,
             records.quarantine_by_part.keys(),
+            records.answer_count_by_part,
         )
         for verdict in verdicts:
             release = records.release_by_part.get(verdict.part_id)
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -12,6 +12,7 @@
 # Servers that end within this time of each other may have a cause of their
 # own, such as a rack or a network that failed.
 _MOMENT_S = 0.25
+_NO_COUNTS: typing.Mapping[str, int] = {}
 
 
 class Crash(typing.NamedTuple):
@@ -55,6 +56,7 @@
     crashes: typing.Iterable[Crash],
     answered_at_s_by_part: typing.Mapping[str, float],
     known_part_ids: typing.AbstractSet[str],
+    answer_count_by_part: typing.Mapping[str, int] = _NO_COUNTS,
 ) -> list[Verdict]:
     """Return the parts that explain the crashes.
 
@@ -71,7 +73,17 @@
         When each part was last answered.
     known_part_ids : set of str
         Parts that are known to crash servers; they explain their crashes.
+    answer_count_by_part : mapping of str to int
+        How often each part was answered.  Of parts with the same crashes the
+        rarest is blamed: a frequent one is present at every server anyway.
     """
+
+    def rank(part_id: str, found: list[Crash]) -> tuple[int, int]:
+        answers = answer_count_by_part.get(part_id, 0)
+        if part_id in answered_at_s_by_part:
+            answers = max(1, answers)
+        return len(found), -answers
+
     verdicts: list[Verdict] = []
     unexplained = [c for c in crashes if not c.part_ids & known_part_ids]
     while True:
@@ -83,14 +95,11 @@
         }
         if not blamed:
             return verdicts
-        most = max(
-            _rank(part_id, found, answered_at_s_by_part)
-            for part_id, found in blamed.items()
-        )
+        most = max(rank(part_id, found) for part_id, found in blamed.items())
         chosen = {
             part_id: found
             for part_id, found in blamed.items()
-            if _rank(part_id, found, answered_at_s_by_part) == most
+            if rank(part_id, found) == most
         }
         for part_id, found in chosen.items():
             verdicts.append(
@@ -133,11 +142,3 @@
         if crash.at_s - moment_s > _MOMENT_S:
             count, moment_s = count + 1, crash.at_s
     return count
-
-
-def _rank(
-    part_id: str,
-    crashes: list[Crash],
-    answered_at_s_by_part: typing.Mapping[str, float],
-) -> tuple[int, bool]:
-    return len(crashes), part_id not in answered_at_s_by_part
--- a/tests/cover/relay/test_crash_attribution.py
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -59,6 +59,18 @@
     assert _blamed(crashes) == {'bad'}
 
 
+def test_of_parts_with_the_same_crashes_the_rarest_is_blamed():
+    """Guards against first parts that are in flight at every engine."""
+    crashes = _crashes(*[{'first', 'bad'}] * 5)
+    verdicts = crash_attribution.find_crashing_parts(
+        crashes,
+        {'first': 9.0, 'bad': 5.0},
+        frozenset(),
+        {'first': 300, 'bad': 2},
+    )
+    assert [(v.part_id, v.is_ambiguous) for v in verdicts] == [('bad', False)]
+
+
 def test_crashes_of_a_known_part_are_blamed_on_no_other_one():
     crashes = _crashes(*[{'bad', 'victim'}] * 9)
     assert _blamed(crashes, known={'bad'}) == set()
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -43,6 +43,28 @@
     assert fleet.sound_refused_share() <= 0.01
 
 
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize(
+    'per_s, clump, seconds', [(0.3, 1, 60.0), (4.0, 1, 20.0), (4.0, 3, 20.0)]
+)
+def test_part_that_was_sound_and_turns_bad_is_stopped(
+    seed, per_s, clump, seconds
+):
+    """Guards against first parts that are blamed when all engines end."""
+    fleet = crash_fleet.CrashFleet(seed)
+    fleet.start_gossip()
+    fleet.start_sound(100.0)
+    fleet.run(8.0)
+    for quarantine in fleet.quarantines[::2]:
+        quarantine.record_answer(crash_fleet.SERVICE, ['bad'])
+    fleet.run(0.5)
+    fleet.start_crashing('bad', per_s, clump)
+    fleet.run(seconds)
+    fifth_s = [*fleet.crashes_at_s, 1e9][:5][-1]
+    assert len(fleet.crashing_after(fifth_s + _CONTACT_S)) <= _MAX_LATER
+    assert fleet.sound_refused_share() <= 0.01
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_engines_that_end_for_other_reasons_cost_no_caller(seed):
     """Guards against parts that are blamed for power cuts and restarts."""
@@ -126,6 +148,17 @@
     assert not any(q.find('m', ['bad']) for q in fleet.quarantines)
 
 
+def test_part_that_turns_bad_right_after_an_answer_is_found():
+    """Guards against crashes that a recent answer hides."""
+    clock = fake_clocks.ManualClock()
+    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine.record_answer('m', ['bad'])
+    for number in range(5):
+        clock.now_s += 0.5
+        _crash(quarantine, f's{number}')
+    assert quarantine.find('m', ['bad'])
+
+
 def test_part_answered_at_a_peer_needs_more_crashes():
     """Guards against rare parts that one node sees only in crashes."""
     fleet = crash_fleet.CrashFleet(0, nodes=2)
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -66,6 +66,11 @@
         _original_record_answer(self, server, per_s)
 
 
+def _count_all(crashes, answered_at_s_by_part):
+    parts = {part_id for crash in crashes for part_id in crash.part_ids}
+    return dict.fromkeys(parts, list(crashes))
+
+
 def _always_async(value):
     async def function(*args, **kwargs):
         return value
@@ -338,7 +343,7 @@
         prompts.test_part_answered_at_a_peer_needs_more_crashes,
     ),
     'a crash is blamed on every part of its prompt': (
-        _set(crash_attribution, '_rank', _always((0, True))),
+        _set(crash_attribution, '_count', _count_all),
         attributions.test_victim_of_all_crashes_is_not_blamed,
     ),
     'a reset connection counts as an ended server': (
