Release parts whose crashes another part explains by now

While all engines end, a first part that all of them have in flight may be blamed before the bad one; it then stayed in quarantine for ten minutes. Verdicts of a node are now reached anew with each crash, from all evidence.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
@@ -49,12 +49,15 @@
     last_crash_s, until_s : float
         When the last one ended, and when the quarantine ends, in seconds
         since boot.
+    is_adopted : bool
+        Whether only peers have reached the verdict so far.
     """
 
     part_id: str
     crash_count: int
     last_crash_s: float
     until_s: float
+    is_adopted: bool = False
 
     @property
     def why(self) -> str:
@@ -305,7 +308,13 @@
         self._start(
             part.service,
             records,
-            Quarantine(part.part_id, part.crash_count, last_crash_s, until_s),
+            Quarantine(
+                part.part_id,
+                part.crash_count,
+                last_crash_s,
+                until_s,
+                known is None or known.is_adopted,
+            ),
             peer,
         )
 
@@ -375,10 +384,19 @@
                 for crash in records.crash_by_instance.values()
             ),
             records.answered_at_s_by_part,
-            records.quarantine_by_part.keys(),
+            {
+                quarantine.part_id
+                for quarantine in records.quarantine_by_part.values()
+                if quarantine.is_adopted
+            },
             records.answer_count_by_part,
         )
+        self._release_explained(
+            service, records, {verdict.part_id for verdict in verdicts}
+        )
         for verdict in verdicts:
+            if verdict.part_id in records.quarantine_by_part:
+                continue
             release = records.release_by_part.get(verdict.part_id)
             if release is not None and verdict.last_crash_s <= release.at_s:
                 continue
@@ -397,6 +415,31 @@
             )
             self._start(service, records, quarantine, 'self')
 
+    def _release_explained(
+        self,
+        service: str,
+        records: _ServiceRecords,
+        proved_part_ids: typing.AbstractSet[str],
+    ) -> None:
+        """Release parts whose crashes another part explains by now."""
+        for quarantine in list(records.quarantine_by_part.values()):
+            part_id = quarantine.part_id
+            if quarantine.is_adopted or part_id in proved_part_ids:
+                continue
+            del records.quarantine_by_part[part_id]
+            records.release_by_part[part_id] = _Release(
+                self._clock.boot_s(), 0.0
+            )
+            _LOG.info(
+                'part-released',
+                extra={
+                    'service': service,
+                    'part': part_id,
+                    'reason': 'another part explains its crashes',
+                    'by': 'self',
+                },
+            )
+
     def _start(
         self,
         service: str,
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_prompt_quarantine.py
@@ -231,6 +231,19 @@
     assert quarantine.remaining_s(quarantine.find('m', ['bad'])) > 500.0
 
 
+def test_part_whose_crashes_another_one_explains_is_released():
+    """Guards against victims that stay refused once the cause is known."""
+    clock = fake_clocks.ManualClock()
+    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    for number in range(3):
+        _crash(quarantine, f's{number}', ('bad', 'victim'))
+        clock.now_s += 0.5
+    assert quarantine.find('m', ['victim'])
+    _crash(quarantine, 's9', ('bad',))
+    assert quarantine.find('m', ['victim']) is None
+    assert quarantine.find('m', ['bad'])
+
+
 def test_parts_that_stay_ambiguous_are_kept_away_for_long():
     """Guards against one more crash every few seconds."""
     clock = fake_clocks.ManualClock()
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -346,6 +346,14 @@
         _set(crash_attribution, '_count', _count_all),
         attributions.test_victim_of_all_crashes_is_not_blamed,
     ),
+    'victims stay in quarantine once the cause is known': (
+        _set(
+            prompt_quarantine.PromptQuarantine,
+            '_release_explained',
+            _always(None),
+        ),
+        prompts.test_part_whose_crashes_another_one_explains_is_released,
+    ),
     'a reset connection counts as an ended server': (
         _set(
             server_end_checker.ServerEndChecker,
