Ask slower limited servers again whether their limit still holds

Callers saw no fault; a server whose limit had ended got one request in 4 s where more than 11 were expected (test of a plain server's limit, once, beside load). Cause: only an answer tells that a limit has ended, and placers chose faster servers all the time. The new unit test shows it: a server that answers in 0.3 s beside one that answers at once gets no request in 3 s, so its limit stays in force; it fails before. Servers whose limit nobody has named for a second are now preferred for one request, within their allowance and only if it is expected in time.

The failure beside load was not seen again, so that it had this cause is likely, not shown.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_limits.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_limits.py
@@ -56,6 +56,11 @@
             return None
         return limit.per_s
 
+    def known_at_s(self, server: backend_server.BackendServer) -> float:
+        """Return when an instance last named its limit; -inf if never."""
+        limit = self._limit_by_key.get(server.instance_key)
+        return -math.inf if limit is None else limit.known_at_s
+
     def record_answer(
         self, server: backend_server.BackendServer, per_s: float | None
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -126,11 +126,13 @@
                 True,
             )
             return _build_refusal(result, result.retry_after_s)
-        views = [
-            self._loads.view(server, parts, service.model.kv_capacity_tokens)
-            for server in accepting
-        ]
-        result = self._placer.place(_build_demand(call, parts), views)
+        kv_capacity_tokens = service.model.kv_capacity_tokens
+        result = self._allowances.place(
+            self._placer,
+            _build_demand(call, parts),
+            accepting,
+            lambda server: self._loads.view(server, parts, kv_capacity_tokens),
+        )
         if isinstance(result, placement_result.NotPlaced):
             return self._refuse(call.service, result)
         self._reserve(call, parts, result)
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
@@ -6,12 +6,19 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.policy import demand as demands
+from foxtailrelay_node.internal.relay.policy import placement_result
+from foxtailrelay_node.internal.relay.policy import placer as placers
+from foxtailrelay_node.internal.relay.policy import server_view
 from foxtailrelay_node.internal.relay.policy import token_bucket
 
 # A server whose limit is lower still gets a request now and then, since only
 # an answer can tell that the limit has been raised.
 _MIN_PER_S = 0.25
 _EVICT_AFTER_S = 60.0
+# Only an answer tells that a limit was raised or has ended, so a limited
+# server is preferred after this time without one, though others may be faster.
+_CONFIRM_INTERVAL_S = 1.0
 # Bounds of the delay before a refused caller may return.
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
@@ -24,6 +31,7 @@
 class _Bucket(typing.NamedTuple):
     tokens: token_bucket.TokenBucket
     used_s: float
+    spent_s: float
 
 
 class LimitAllowances:
@@ -60,7 +68,8 @@
         if per_s == 0.0:
             return math.inf
         now_s = self._clock.boot_s()
-        return self._bucket(server, now_s).wait_s(per_s, _burst(per_s), now_s)
+        tokens = self._bucket(server, now_s).tokens
+        return tokens.wait_s(per_s, _burst(per_s), now_s)
 
     def spend(self, server: backend_server.BackendServer) -> bool:
         """Count a request; return whether the server has a limit."""
@@ -68,7 +77,12 @@
         if per_s is None:
             return False
         now_s = self._clock.boot_s()
-        self._bucket(server, now_s).spend(per_s, _burst(per_s), now_s)
+        tokens = self._bucket(server, now_s).tokens
+        tokens.spend(per_s, _burst(per_s), now_s)
+        key = server.instance_key
+        self._bucket_by_key[key] = self._bucket_by_key[key]._replace(
+            spent_s=now_s
+        )
         return True
 
     def split(
@@ -83,6 +97,52 @@
             chosen.append(server)
         return accepting, waiting
 
+    def place(
+        self,
+        placer: placers.Placer,
+        demand: demands.Demand,
+        servers: typing.Sequence[backend_server.BackendServer],
+        view: typing.Callable[
+            [backend_server.BackendServer], server_view.ServerView
+        ],
+    ) -> placement_result.Placed | placement_result.NotPlaced:
+        """Choose a server, one with an unconfirmed limit if it is in time.
+
+        Parameters
+        ----------
+        placer : Placer
+            Chooses by load.
+        demand : Demand
+            What the request needs.
+        servers : sequence of BackendServer
+            Servers that accept a request now.
+        view : callable
+            Returns the load of a server.
+        """
+        unconfirmed = self._unconfirmed(servers)
+        if unconfirmed:
+            result = placer.place(demand, [view(s) for s in unconfirmed])
+            if isinstance(result, placement_result.Placed):
+                return result
+        return placer.place(demand, [view(s) for s in servers])
+
+    def _unconfirmed(
+        self, servers: typing.Iterable[backend_server.BackendServer]
+    ) -> list[backend_server.BackendServer]:
+        """Return the servers whose limit no answer has named recently.
+
+        A server is not returned again while a request to it is recent.
+        """
+        now_s = self._clock.boot_s()
+        oldest_s = now_s - _CONFIRM_INTERVAL_S
+        return [
+            server
+            for server in servers
+            if self._limits.per_s(server) is not None
+            and self._limits.known_at_s(server) < oldest_s
+            and self._bucket(server, now_s).spent_s < oldest_s
+        ]
+
     def without_limit(
         self, servers: typing.Iterable[backend_server.BackendServer]
     ) -> list[backend_server.BackendServer]:
@@ -133,15 +193,16 @@
 
     def _bucket(
         self, server: backend_server.BackendServer, now_s: float
-    ) -> token_bucket.TokenBucket:
+    ) -> _Bucket:
         bucket = self._bucket_by_key.get(server.instance_key)
         if bucket is None:
             self._evict(now_s)
-            bucket = _Bucket(token_bucket.TokenBucket(now_s), now_s)
+            tokens = token_bucket.TokenBucket(now_s)
+            bucket = _Bucket(tokens, now_s, -math.inf)
         self._bucket_by_key[server.instance_key] = bucket._replace(
             used_s=now_s
         )
-        return bucket.tokens
+        return bucket
 
     def _evict(self, now_s: float) -> None:
         for key, bucket in list(self._bucket_by_key.items()):
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -162,13 +162,15 @@
             # The dispatcher may use their limits up.
             accepting = self._allowances.without_limit(accepting) or accepting
             kv_capacity_tokens = service.model.kv_capacity_tokens
-        parts = job.request.prompt_parts
-        views = [
-            self._loads.view(server, parts, kv_capacity_tokens)
-            for server in accepting
-        ]
         demand = self._build_demand(job, urgency, is_retry)
-        result = placer.place(demand, views)
+        result = self._allowances.place(
+            placer,
+            demand,
+            accepting,
+            lambda server: self._loads.view(
+                server, job.request.prompt_parts, kv_capacity_tokens
+            ),
+        )
         if isinstance(result, placement_result.Placed):
             self._allowances.spend(result.view.server)
         return result
--- a/tests/cover/relay/test_server_limits.py
+++ b/tests/cover/relay/test_server_limits.py
@@ -220,3 +220,30 @@
     await _send(rig)
     (server,) = rig.servers.usable('plain')
     assert rig.servers.limits.per_s(server) is None
+
+
+def _slow_backend(requests, limit):
+    """Return a server that answers late and names the limit in ``limit``."""
+
+    async def serve(stream):
+        while request := await relay_rig.read_request(stream):
+            requests.append(request)
+            await trio.sleep(0.3)
+            await stream.send_all(relay_rig.success_response(extra=limit[0]))
+
+    return serve
+
+
+@relay_rig.with_rig
+async def test_slower_server_still_shows_the_end_of_its_limit(rig):
+    """Guards against a limit that nobody can see has ended."""
+    slow, fast, limit = [], [], ['Server-Limit: 1\r\n']
+    rig.add_server('plain', 1, _slow_backend(slow, limit))
+    await _send(rig)
+    rig.add_server('plain', 2, _limited_backend(fast, ''))
+    limit[0] = ''
+    (server, _) = rig.servers.usable('plain')
+    for _ in range(30):
+        assert relay_rig.status_code(await _send(rig)) == 200
+        await trio.sleep(0.1)
+    assert rig.servers.limits.per_s(server) is None
