Name repeated requests in the logs, and check all servers that close

Broken attempts have a fingerprint of caller, method, target and body now, and the end of a server is checked whatever it was serving. What is blamed does not change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -297,6 +297,7 @@
                     self._context.loads.record_failure(server)
                 fields['reason'] = reason
                 if isinstance(result, results.Broken):
+                    fields['fingerprint'] = job.fingerprint
                     fields['parts'] = ','.join(job.shared_part_ids)
             case results.ServerFailure(head=head):
                 fields['status'] = head.status
@@ -311,11 +312,7 @@
     ) -> bool:
         """Whether the server ended while it may have begun this answer."""
         listed = self._context.servers.find_usable(server.id)
-        if (
-            not job.shared_part_ids
-            or listed is None
-            or listed.instance_key != server.instance_key
-        ):
+        if listed is None or listed.instance_key != server.instance_key:
             return False
         match result:
             case results.Broken(is_disconnect=True, reason=reason):
@@ -327,7 +324,7 @@
         if not await self._context.end_checker.has_ended(server, reason):
             return False
         first_at_s = progress.attempt_first_event_at_s
-        return (
+        return bool(job.shared_part_ids) and (
             first_at_s is None
             or self._context.now_s() - first_at_s < _CRASH_DELAY_S
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
@@ -21,6 +21,8 @@
         The service that answers it.
     received_at_s, deadline_s : float
         Arrival and deadline, in seconds since boot.
+    fingerprint : str
+        Equal for requests that differ only in their ids.
     """
 
     request: caller_request.CallerRequest
@@ -29,6 +31,7 @@
     service: str
     received_at_s: float
     deadline_s: float
+    fingerprint: str
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
--- a/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
@@ -14,6 +14,7 @@
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.policy import quota as quotas
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
+from foxtailrelay_node.internal.relay.policy import request_fingerprint
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay import wire_format
@@ -151,6 +152,12 @@
             _choose_service(route, request.request_id),
             connection.received_at_s,
             connection.received_at_s + allowance_s,
+            request_fingerprint.fingerprint(
+                access.organisation.name if access.organisation else '',
+                request.method,
+                request.target,
+                body,
+            ),
         )
         progress = progresses.Progress()
         failure = None
