--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -263,7 +263,7 @@
         Its service.
     age_ms : int
         Milliseconds since it ended, when the report was built.
-    part_ids : tuple of str
+    suspect_ids : tuple of str
         Shared parts of the prompts that it may just have begun to answer.
     running_ms : tuple of int
         For each part, milliseconds from sending the last request with it to
@@ -274,16 +274,16 @@
     started_ms: int
     service: str
     age_ms: int
-    part_ids: tuple[str, ...]
+    suspect_ids: tuple[str, ...]
     running_ms: tuple[int, ...] = ()
 
 
-class QuarantinedPart(typing.NamedTuple):
+class QuarantinedSuspect(typing.NamedTuple):
     """A part of prompts that is not sent to a service.
 
     Parameters
     ----------
-    service, part_id : str
+    service, suspect_id : str
         The service and the part.
     crash_count : int
         Servers that it ended.
@@ -293,18 +293,18 @@
     """
 
     service: str
-    part_id: str
+    suspect_id: str
     crash_count: int
     age_ms: int
     remaining_ms: int
 
 
-class AnsweredPart(typing.NamedTuple):
+class AnsweredSuspect(typing.NamedTuple):
     """A suspected part that the reporting node has received answers for.
 
     Parameters
     ----------
-    service, part_id : str
+    service, suspect_id : str
         The service and the part.
     age_ms : int
         Milliseconds since the last of these answers, when the report was
@@ -312,7 +312,7 @@
     """
 
     service: str
-    part_id: str
+    suspect_id: str
     age_ms: int
 
 
@@ -354,7 +354,7 @@
     departures : tuple of (str, int)
         Id and start time in Unix milliseconds of the backend servers that
         announced their departure to this node.
-    crashes, quarantined_parts, answered_parts : tuple
+    crashes, quarantined_suspects, answered_suspects : tuple
         Ended servers, and what is known of the parts of prompts.
     limits : tuple of ServerLimit
         Limits that servers named to this node.
@@ -371,8 +371,8 @@
     centicores: int = 100
     departures: tuple[tuple[str, int], ...] = ()
     crashes: tuple[Crash, ...] = ()
-    quarantined_parts: tuple[QuarantinedPart, ...] = ()
-    answered_parts: tuple[AnsweredPart, ...] = ()
+    quarantined_suspects: tuple[QuarantinedSuspect, ...] = ()
+    answered_suspects: tuple[AnsweredSuspect, ...] = ()
     limits: tuple[ServerLimit, ...] = ()
 
 
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -63,22 +63,22 @@
 
 
 def _prompt_columns(report: message_types.NodeReport) -> dict[str, list]:
-    crashes, answered = report.crashes, report.answered_parts
-    quarantined = report.quarantined_parts
+    crashes, answered = report.crashes, report.answered_suspects
+    quarantined = report.quarantined_suspects
     return {
         'crashServers': [crash.server for crash in crashes],
         'crashStarts': [crash.started_ms for crash in crashes],
         'crashServices': [crash.service for crash in crashes],
         'crashNumbers': _flatten(
-            (crash.age_ms, len(crash.part_ids)) for crash in crashes
+            (crash.age_ms, len(crash.suspect_ids)) for crash in crashes
         ),
-        'crashParts': _flatten(crash.part_ids for crash in crashes),
+        'crashParts': _flatten(crash.suspect_ids for crash in crashes),
         'crashRunning': _flatten(crash.running_ms for crash in crashes),
         'quarantineServices': [part.service for part in quarantined],
-        'quarantineParts': [part.part_id for part in quarantined],
+        'quarantineParts': [part.suspect_id for part in quarantined],
         'quarantineNumbers': _flatten(part[2:] for part in quarantined),
         'answeredServices': [part.service for part in answered],
-        'answeredParts': [part.part_id for part in answered],
+        'answeredParts': [part.suspect_id for part in answered],
         'answeredAges': [part.age_ms for part in answered],
     }
 
@@ -148,8 +148,8 @@
         ),
         _to_crashes(content),
         tuple(
-            message_types.QuarantinedPart(service, part_id, *numbers)
-            for service, part_id, numbers in zip(
+            message_types.QuarantinedSuspect(service, suspect_id, *numbers)
+            for service, suspect_id, numbers in zip(
                 content.quarantineServices,
                 content.quarantineParts,
                 _rows(content.quarantineNumbers, _QUARANTINE_COLUMNS),
@@ -157,8 +157,8 @@
             )
         ),
         tuple(
-            message_types.AnsweredPart(service, part_id, age_ms)
-            for service, part_id, age_ms in zip(
+            message_types.AnsweredSuspect(service, suspect_id, age_ms)
+            for service, suspect_id, age_ms in zip(
                 content.answeredServices,
                 content.answeredParts,
                 content.answeredAges,
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -15,7 +15,7 @@
 
 PROTOCOL_VERSION = message_types.PROTOCOL_VERSION
 
-AnsweredPart = message_types.AnsweredPart
+AnsweredSuspect = message_types.AnsweredSuspect
 Challenge = message_types.Challenge
 ConfigRecord = message_types.ConfigRecord
 ConfigRecords = message_types.ConfigRecords
@@ -38,7 +38,7 @@
 PlaceCall = place_messages.PlaceCall
 PlaceEvent = place_messages.PlaceEvent
 PlaceNote = place_messages.PlaceNote
-QuarantinedPart = message_types.QuarantinedPart
+QuarantinedSuspect = message_types.QuarantinedSuspect
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
 ServerLimit = message_types.ServerLimit
@@ -60,7 +60,7 @@
 
 __all__ = [
     'PROTOCOL_VERSION',
-    'AnsweredPart',
+    'AnsweredSuspect',
     'Challenge',
     'ConfigRecord',
     'ConfigRecords',
@@ -83,7 +83,7 @@
     'PlaceCall',
     'PlaceEvent',
     'PlaceNote',
-    'QuarantinedPart',
+    'QuarantinedSuspect',
     'Refusal',
     'ReportCopy',
     'ServerLimit',
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -2,8 +2,8 @@
 
 from foxtailrelay_core import messages
 
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -44,7 +44,7 @@
         The configuration in force, and the follower that updates it.
     servers, server_follower : ServerList, TopicFollower
         The list of servers, and the follower that updates it.
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Parts of prompts that crash servers.
     loads, quota, budget, usage, demand
         Counters of this node and, except for demand, of its peers.
@@ -82,7 +82,7 @@
             clock,
             _SERVER_CONFIRMATION_RATIO * settings.server_drain_s,
         )
-        self.quarantine = prompt_quarantine.PromptQuarantine(clock)
+        self.quarantine = crash_quarantine.CrashQuarantine(clock)
         self.loads = load_tracker.LoadTracker(clock)
         self.quota = quotas.Quota(
             settings.limit_window_s,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -5,8 +5,8 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -35,7 +35,7 @@
         Backend servers that may be used.
     loads : LoadTracker
         This node's view of their load.
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Parts of prompts that crash servers.
     placer : RequestPlacer
         Chooses among them.
@@ -63,7 +63,7 @@
 
     servers: server_list.ServerList
     loads: load_tracker.LoadTracker
-    quarantine: prompt_quarantine.PromptQuarantine
+    quarantine: crash_quarantine.CrashQuarantine
     placer: request_placer.RequestPlacer
     pool: backend_pool.BackendPool
     end_checker: server_end_checker.ServerEndChecker
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/prompt_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -43,7 +43,7 @@
 
     Parameters
     ----------
-    part_id : str
+    suspect_id : str
         The part.
     crash_count : int
         Servers that it ended.
@@ -54,7 +54,7 @@
         Whether only peers have reached the verdict so far.
     """
 
-    part_id: str
+    suspect_id: str
     crash_count: int
     last_crash_s: float
     until_s: float
@@ -65,13 +65,13 @@
         """Reason of a refusal, for the log and the caller."""
         return (
             f'{self.crash_count} backend servers ended under prompts with '
-            f'part {self.part_id}; send the request without it'
+            f'part {self.suspect_id}; send the request without it'
         )
 
 
 class _Crash(typing.NamedTuple):
     at_s: float
-    sent_at_s_by_part: dict[str, float]
+    sent_at_s_by_suspect: dict[str, float]
     is_own: bool
 
 
@@ -89,20 +89,20 @@
         self.crash_by_instance: collections.OrderedDict[
             InstanceKey, _Crash
         ] = collections.OrderedDict()
-        self.answered_at_s_by_part: collections.OrderedDict[str, float] = (
+        self.answered_at_s_by_suspect: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self.own_answered_at_s_by_part: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self.answer_count_by_part: collections.Counter[str] = (
+        self.own_answered_at_s_by_suspect: collections.OrderedDict[
+            str, float
+        ] = collections.OrderedDict()
+        self.answer_count_by_suspect: collections.Counter[str] = (
             collections.Counter()
         )
-        self.quarantine_by_part: dict[str, Quarantine] = {}
-        self.release_by_part: dict[str, _Release] = {}
+        self.quarantine_by_suspect: dict[str, Quarantine] = {}
+        self.release_by_suspect: dict[str, _Release] = {}
 
 
-class PromptQuarantine:
+class CrashQuarantine:
     """Finds parts that crash servers, together with the other nodes.
 
     Every node reports the servers that ended under its requests, and the
@@ -117,7 +117,7 @@
 
     Examples
     --------
-    >>> quarantine = PromptQuarantine(clock)
+    >>> quarantine = CrashQuarantine(clock)
     >>> for number in range(3):
     ...     quarantine.record_crash('model', (f's{number}', 1), ['91bd'])
     ...     clock.now_s += 1
@@ -130,14 +130,14 @@
         self._records_by_service: dict[str, _ServiceRecords] = {}
 
     def find(
-        self, service: str, part_ids: typing.Iterable[str]
+        self, service: str, suspect_ids: typing.Iterable[str]
     ) -> Quarantine | None:
         """Return the quarantine of the first part that has one."""
         records = self._records_by_service.get(service)
         if records is None:
             return None
-        for part_id in _keys(part_ids):
-            quarantine = records.quarantine_by_part.get(part_id)
+        for suspect_id in _keys(suspect_ids):
+            quarantine = records.quarantine_by_suspect.get(suspect_id)
             if quarantine is None:
                 continue
             if quarantine.until_s > self._clock.boot_s():
@@ -152,7 +152,7 @@
     def count(self) -> int:
         """Return the number of parts in quarantine."""
         return sum(
-            len(records.quarantine_by_part)
+            len(records.quarantine_by_suspect)
             for records in self._records_by_service.values()
         )
 
@@ -160,7 +160,7 @@
         self,
         service: str,
         instance_key: InstanceKey,
-        part_ids: typing.Iterable[str],
+        suspect_ids: typing.Iterable[str],
         sent_at_s: float = -math.inf,
         is_own: bool = True,
     ) -> None:
@@ -172,7 +172,7 @@
             Service of the server.
         instance_key : InstanceKey
             The instance that ended.
-        part_ids : iterable of str
+        suspect_ids : iterable of str
             Shared parts of the prompt.
         sent_at_s : float
             When the request was sent, in seconds since boot.
@@ -181,39 +181,41 @@
         """
         records = self._records(service)
         now_s = self._clock.boot_s()
-        sent_at_s_by_part = dict.fromkeys(_keys(part_ids), sent_at_s)
+        sent_at_s_by_suspect = dict.fromkeys(_keys(suspect_ids), sent_at_s)
         self._add_crash(
-            records, instance_key, _Crash(now_s, sent_at_s_by_part, is_own)
+            records, instance_key, _Crash(now_s, sent_at_s_by_suspect, is_own)
         )
         self._evaluate(service, records)
 
     def record_answer(
-        self, service: str, part_ids: typing.Iterable[str]
+        self, service: str, suspect_ids: typing.Iterable[str]
     ) -> None:
         """Record a complete answer, which clears the parts of its prompt."""
         records = self._records(service)
         now_s = self._clock.boot_s()
-        for part_id in _keys(part_ids):
-            _store_newest(records.own_answered_at_s_by_part, part_id, now_s)
-            records.answer_count_by_part[part_id] += 1
-            self._clear(service, records, part_id, now_s, 'answered')
+        for suspect_id in _keys(suspect_ids):
+            _store_newest(
+                records.own_answered_at_s_by_suspect, suspect_id, now_s
+            )
+            records.answer_count_by_suspect[suspect_id] += 1
+            self._clear(service, records, suspect_id, now_s, 'answered')
 
     def build_crashes(self) -> tuple[messages.Crash, ...]:
         """Return recent crashes under this node's requests, for its report."""
         now_s = self._clock.boot_s()
         recent = [
-            (crash.at_s, service, key, crash.sent_at_s_by_part)
+            (crash.at_s, service, key, crash.sent_at_s_by_suspect)
             for service, records in self._records_by_service.items()
             for key, crash in records.crash_by_instance.items()
             if crash.is_own
-            and crash.sent_at_s_by_part
+            and crash.sent_at_s_by_suspect
             and now_s - crash.at_s < _GOSSIP_S
         ]
         crashes = []
         part_count = 0
         recent.sort(key=lambda row: row[:3], reverse=True)
-        for at_s, service, key, sent_at_s_by_part in recent:
-            part_count += len(sent_at_s_by_part)
+        for at_s, service, key, sent_at_s_by_suspect in recent:
+            part_count += len(sent_at_s_by_suspect)
             if part_count > _MAX_REPORTED_CRASH_PARTS:
                 break
             crashes.append(
@@ -221,44 +223,46 @@
                     *key,
                     service,
                     _to_ms(now_s - at_s),
-                    tuple(sent_at_s_by_part),
+                    tuple(sent_at_s_by_suspect),
                     tuple(
                         _to_ms(at_s - sent_at_s)
-                        for sent_at_s in sent_at_s_by_part.values()
+                        for sent_at_s in sent_at_s_by_suspect.values()
                     ),
                 )
             )
         return tuple(crashes)
 
-    def build_quarantined(self) -> tuple[messages.QuarantinedPart, ...]:
+    def build_quarantined(self) -> tuple[messages.QuarantinedSuspect, ...]:
         """Return the parts in quarantine, for this node's report."""
         now_s = self._clock.boot_s()
         parts = [
-            messages.QuarantinedPart(
+            messages.QuarantinedSuspect(
                 service,
-                quarantine.part_id,
+                quarantine.suspect_id,
                 quarantine.crash_count,
                 _to_ms(now_s - quarantine.last_crash_s),
                 _to_ms(quarantine.until_s - now_s),
             )
             for service, records in self._records_by_service.items()
-            for quarantine in records.quarantine_by_part.values()
+            for quarantine in records.quarantine_by_suspect.values()
             if quarantine.until_s > now_s
         ]
         return tuple(parts[-_MAX_REPORTED:])
 
-    def build_answered(self) -> tuple[messages.AnsweredPart, ...]:
+    def build_answered(self) -> tuple[messages.AnsweredSuspect, ...]:
         """Return the suspected parts that were answered to this node."""
         now_s = self._clock.boot_s()
         parts = [
-            messages.AnsweredPart(
+            messages.AnsweredSuspect(
                 service,
-                part_id,
-                _to_ms(now_s - records.own_answered_at_s_by_part[part_id]),
+                suspect_id,
+                _to_ms(
+                    now_s - records.own_answered_at_s_by_suspect[suspect_id]
+                ),
             )
             for service, records in self._records_by_service.items()
-            for part_id in self._recent_suspects(records, now_s)
-            if part_id in records.own_answered_at_s_by_part
+            for suspect_id in self._recent_suspects(records, now_s)
+            if suspect_id in records.own_answered_at_s_by_suspect
         ]
         return tuple(parts[:_MAX_REPORTED])
 
@@ -276,10 +280,10 @@
         peer : str
             Name of the peer, for the log.
         """
-        for part in report.answered_parts:
+        for part in report.answered_suspects:
             at_s = made_at_s - part.age_ms / 1000
             records = self._records(part.service)
-            self._clear(part.service, records, part.part_id, at_s, peer)
+            self._clear(part.service, records, part.suspect_id, at_s, peer)
         for service in {crash.service for crash in report.crashes}:
             records = self._records(service)
             has_news = False
@@ -292,21 +296,21 @@
                     )
             if has_news:
                 self._evaluate(service, records)
-        for part in report.quarantined_parts:
+        for part in report.quarantined_suspects:
             self._adopt(part, made_at_s, peer)
 
     def _adopt(
-        self, part: messages.QuarantinedPart, made_at_s: float, peer: str
+        self, part: messages.QuarantinedSuspect, made_at_s: float, peer: str
     ) -> None:
         """Adopt a quarantine of a peer unless newer facts contradict it."""
         records = self._records(part.service)
         last_crash_s = made_at_s - part.age_ms / 1000
         until_s = made_at_s + part.remaining_ms / 1000
-        release = records.release_by_part.get(part.part_id)
-        known = records.quarantine_by_part.get(part.part_id)
+        release = records.release_by_suspect.get(part.suspect_id)
+        known = records.quarantine_by_suspect.get(part.suspect_id)
         if (
             until_s <= self._clock.boot_s()
-            or records.answered_at_s_by_part.get(part.part_id, -math.inf)
+            or records.answered_at_s_by_suspect.get(part.suspect_id, -math.inf)
             >= last_crash_s
             or (release is not None and release.at_s >= last_crash_s)
             or (
@@ -319,7 +323,7 @@
             part.service,
             records,
             Quarantine(
-                part.part_id,
+                part.suspect_id,
                 part.crash_count,
                 last_crash_s,
                 until_s,
@@ -334,17 +338,17 @@
         """Merge a crash; return whether anything was new."""
         known = records.crash_by_instance.get(key)
         if known is not None:
-            sent_at_s_by_part = dict(known.sent_at_s_by_part)
+            sent_at_s_by_suspect = dict(known.sent_at_s_by_suspect)
             has_news = False
-            for part_id, sent_at_s in crash.sent_at_s_by_part.items():
-                known_s = sent_at_s_by_part.get(part_id)
+            for suspect_id, sent_at_s in crash.sent_at_s_by_suspect.items():
+                known_s = sent_at_s_by_suspect.get(suspect_id)
                 # Ages in reports are rounded to milliseconds.
                 if known_s is None or sent_at_s > known_s + 0.002:
-                    sent_at_s_by_part[part_id] = sent_at_s
+                    sent_at_s_by_suspect[suspect_id] = sent_at_s
                     has_news = True
             records.crash_by_instance[key] = _Crash(
                 min(known.at_s, crash.at_s),
-                sent_at_s_by_part,
+                sent_at_s_by_suspect,
                 known.is_own or crash.is_own,
             )
             return has_news
@@ -357,24 +361,24 @@
         self,
         service: str,
         records: _ServiceRecords,
-        part_id: str,
+        suspect_id: str,
         at_s: float,
         source: str,
     ) -> None:
         """Record that a part was answered at a time."""
-        is_new = part_id not in records.answered_at_s_by_part
-        _store_newest(records.answered_at_s_by_part, part_id, at_s)
-        quarantine = records.quarantine_by_part.get(part_id)
+        is_new = suspect_id not in records.answered_at_s_by_suspect
+        _store_newest(records.answered_at_s_by_suspect, suspect_id, at_s)
+        quarantine = records.quarantine_by_suspect.get(suspect_id)
         if quarantine is None:
             return
         if at_s < quarantine.last_crash_s and not is_new:
             return
-        del records.quarantine_by_part[part_id]
+        del records.quarantine_by_suspect[suspect_id]
         _LOG.info(
             'part-released',
             extra={
                 'service': service,
-                'part': part_id,
+                'part': suspect_id,
                 'reason': 'a server answered a prompt with it',
                 'by': source,
             },
@@ -385,22 +389,22 @@
     def _evaluate(self, service: str, records: _ServiceRecords) -> None:
         """Quarantine the parts that the crashes prove to crash servers."""
         now_s = self._clock.boot_s()
-        for quarantine in list(records.quarantine_by_part.values()):
+        for quarantine in list(records.quarantine_by_suspect.values()):
             if quarantine.until_s <= now_s:
                 self._expire(service, records, quarantine)
-        for part_id in list(records.answer_count_by_part):
-            if part_id not in records.own_answered_at_s_by_part:
-                del records.answer_count_by_part[part_id]
+        for suspect_id in list(records.answer_count_by_suspect):
+            if suspect_id not in records.own_answered_at_s_by_suspect:
+                del records.answer_count_by_suspect[suspect_id]
         oldest_s = now_s - _EVIDENCE_S
         for key, crash in list(records.crash_by_instance.items()):
             if crash.at_s < oldest_s:
                 del records.crash_by_instance[key]
         self._release_explained(service, records)
-        verdicts = _find_crashing_parts(records, _adopted_part_ids(records))
+        verdicts = _find_crashing_parts(records, _adopted_suspect_ids(records))
         for verdict in verdicts:
-            if verdict.part_id in records.quarantine_by_part:
+            if verdict.suspect_id in records.quarantine_by_suspect:
                 continue
-            release = records.release_by_part.get(verdict.part_id)
+            release = records.release_by_suspect.get(verdict.suspect_id)
             if release is not None and release.is_explained:
                 release = None
             if release is not None and verdict.last_crash_s <= release.at_s:
@@ -413,7 +417,7 @@
                     _MAX_QUARANTINE_S, max(duration_s, 2 * release.duration_s)
                 )
             quarantine = Quarantine(
-                verdict.part_id,
+                verdict.suspect_id,
                 verdict.crash_count,
                 verdict.last_crash_s,
                 now_s + duration_s,
@@ -428,31 +432,31 @@
         A peer's verdict holds until the crashes known here, which may be
         fewer, explain as many by another part.
         """
-        proved = _find_crashing_parts(records, _adopted_part_ids(records))
-        kept_ids = {verdict.part_id for verdict in proved}
+        proved = _find_crashing_parts(records, _adopted_suspect_ids(records))
+        kept_ids = {verdict.suspect_id for verdict in proved}
         unaided = _find_crashing_parts(records, frozenset())
-        for quarantine in list(records.quarantine_by_part.values()):
-            part_id = quarantine.part_id
+        for quarantine in list(records.quarantine_by_suspect.values()):
+            suspect_id = quarantine.suspect_id
             if quarantine.is_adopted:
                 is_explained = bool(unaided) and all(
-                    verdict.part_id != part_id for verdict in unaided
+                    verdict.suspect_id != suspect_id for verdict in unaided
                 )
                 is_explained = is_explained and (
                     unaided[0].crash_count >= quarantine.crash_count
                 )
             else:
-                is_explained = part_id not in kept_ids
+                is_explained = suspect_id not in kept_ids
             if not is_explained:
                 continue
-            del records.quarantine_by_part[part_id]
-            records.release_by_part[part_id] = _Release(
+            del records.quarantine_by_suspect[suspect_id]
+            records.release_by_suspect[suspect_id] = _Release(
                 self._clock.boot_s(), 0.0, True
             )
             _LOG.info(
                 'part-released',
                 extra={
                     'service': service,
-                    'part': part_id,
+                    'part': suspect_id,
                     'reason': 'another part explains its crashes',
                     'by': 'self',
                 },
@@ -465,11 +469,11 @@
         quarantine: Quarantine,
         source: str,
     ) -> None:
-        is_new = quarantine.part_id not in records.quarantine_by_part
-        records.quarantine_by_part[quarantine.part_id] = quarantine
-        if len(records.quarantine_by_part) > _MAX_QUARANTINED:
-            del records.quarantine_by_part[
-                next(iter(records.quarantine_by_part))
+        is_new = quarantine.suspect_id not in records.quarantine_by_suspect
+        records.quarantine_by_suspect[quarantine.suspect_id] = quarantine
+        if len(records.quarantine_by_suspect) > _MAX_QUARANTINED:
+            del records.quarantine_by_suspect[
+                next(iter(records.quarantine_by_suspect))
             ]
         if is_new:
             now_s = self._clock.boot_s()
@@ -477,7 +481,7 @@
                 'part-quarantined',
                 extra={
                     'service': service,
-                    'part': quarantine.part_id,
+                    'part': quarantine.suspect_id,
                     'crashes': quarantine.crash_count,
                     'last_crash_age_s': round(
                         now_s - quarantine.last_crash_s, 3
@@ -491,15 +495,15 @@
         self, service: str, records: _ServiceRecords, quarantine: Quarantine
     ) -> None:
         """End a quarantine whose time is over."""
-        del records.quarantine_by_part[quarantine.part_id]
-        records.release_by_part[quarantine.part_id] = _Release(
+        del records.quarantine_by_suspect[quarantine.suspect_id]
+        records.release_by_suspect[quarantine.suspect_id] = _Release(
             quarantine.until_s, quarantine.until_s - quarantine.last_crash_s
         )
         _LOG.info(
             'part-released',
             extra={
                 'service': service,
-                'part': quarantine.part_id,
+                'part': quarantine.suspect_id,
                 'reason': 'the quarantine is over',
                 'by': 'self',
             },
@@ -510,10 +514,10 @@
         records: _ServiceRecords, now_s: float
     ) -> typing.Iterable[str]:
         """Return parts of recent crashes, and those in quarantine."""
-        suspects = dict.fromkeys(records.quarantine_by_part)
+        suspects = dict.fromkeys(records.quarantine_by_suspect)
         for crash in reversed(records.crash_by_instance.values()):
             if now_s - crash.at_s < _GOSSIP_S:
-                suspects |= dict.fromkeys(crash.sent_at_s_by_part)
+                suspects |= dict.fromkeys(crash.sent_at_s_by_suspect)
         return suspects
 
     def _records(self, service: str) -> _ServiceRecords:
@@ -522,58 +526,60 @@
         return self._records_by_service[service]
 
 
-def _adopted_part_ids(records: _ServiceRecords) -> set[str]:
+def _adopted_suspect_ids(records: _ServiceRecords) -> set[str]:
     """Return the parts that only peers have proved to crash servers."""
     return {
-        quarantine.part_id
-        for quarantine in records.quarantine_by_part.values()
+        quarantine.suspect_id
+        for quarantine in records.quarantine_by_suspect.values()
         if quarantine.is_adopted
     }
 
 
 def _find_crashing_parts(
-    records: _ServiceRecords, known_part_ids: typing.AbstractSet[str]
+    records: _ServiceRecords, known_suspect_ids: typing.AbstractSet[str]
 ) -> list[crash_attribution.Verdict]:
-    return crash_attribution.find_crashing_parts(
+    return crash_attribution.find_crash_causes(
         (
-            crash_attribution.Crash(crash.at_s, crash.sent_at_s_by_part)
+            crash_attribution.Crash(crash.at_s, crash.sent_at_s_by_suspect)
             for crash in records.crash_by_instance.values()
         ),
-        records.answered_at_s_by_part,
-        known_part_ids,
-        records.answer_count_by_part,
+        records.answered_at_s_by_suspect,
+        known_suspect_ids,
+        records.answer_count_by_suspect,
     )
 
 
-def _keys(part_ids: typing.Iterable[str]) -> typing.Iterator[str]:
+def _keys(suspect_ids: typing.Iterable[str]) -> typing.Iterator[str]:
     """Return the ids in lower case, and hashes of long ones."""
-    for part_id in part_ids:
-        if len(part_id) <= _MAX_ID_LENGTH:
-            yield part_id.lower()
+    for suspect_id in suspect_ids:
+        if len(suspect_id) <= _MAX_ID_LENGTH:
+            yield suspect_id.lower()
         else:
-            yield xxhash.xxh64_hexdigest(part_id.lower().encode())
+            yield xxhash.xxh64_hexdigest(suspect_id.lower().encode())
 
 
 def _decode_crash(crash: messages.Crash, made_at_s: float) -> _Crash:
     at_s = made_at_s - crash.age_ms / 1000
-    sent_at_s_by_part = dict.fromkeys(crash.part_ids, -math.inf)
-    for part_id, running_ms in zip(
-        crash.part_ids, crash.running_ms, strict=False
+    sent_at_s_by_suspect = dict.fromkeys(crash.suspect_ids, -math.inf)
+    for suspect_id, running_ms in zip(
+        crash.suspect_ids, crash.running_ms, strict=False
     ):
         if running_ms < _UNKNOWN_MS:
-            sent_at_s_by_part[part_id] = at_s - running_ms / 1000
-    return _Crash(at_s, sent_at_s_by_part, False)
+            sent_at_s_by_suspect[suspect_id] = at_s - running_ms / 1000
+    return _Crash(at_s, sent_at_s_by_suspect, False)
 
 
 def _store_newest(
-    at_s_by_part: collections.OrderedDict[str, float],
-    part_id: str,
+    at_s_by_suspect: collections.OrderedDict[str, float],
+    suspect_id: str,
     at_s: float,
 ) -> None:
-    at_s_by_part[part_id] = max(at_s, at_s_by_part.get(part_id, at_s))
-    at_s_by_part.move_to_end(part_id)
-    if len(at_s_by_part) > _MAX_ANSWERED:
-        at_s_by_part.popitem(last=False)
+    at_s_by_suspect[suspect_id] = max(
+        at_s, at_s_by_suspect.get(suspect_id, at_s)
+    )
+    at_s_by_suspect.move_to_end(suspect_id)
+    if len(at_s_by_suspect) > _MAX_ANSWERED:
+        at_s_by_suspect.popitem(last=False)
 
 
 def _to_ms(seconds: float) -> int:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -6,8 +6,8 @@
 import logbook
 
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -74,7 +74,7 @@
         Backend servers that may be used.
     state : NodeState
         The configuration in force.
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Parts of prompts that crash servers; learns from the ends of
         reservations.
     clock : Clock
@@ -85,7 +85,7 @@
         self,
         servers: server_list.ServerList,
         state: node_state.NodeState,
-        quarantine: prompt_quarantine.PromptQuarantine,
+        quarantine: crash_quarantine.CrashQuarantine,
         clock: clocks.Clock,
     ) -> None:
         self._servers = servers
@@ -229,7 +229,7 @@
         return _build_refusal(result, delay_s)
 
     def _refuse_quarantined(
-        self, quarantine: prompt_quarantine.Quarantine
+        self, quarantine: crash_quarantine.Quarantine
     ) -> messages.PlaceAnswer:
         """Refuse a request for a part of its prompt."""
         remaining_s = self._quarantine.remaining_s(quarantine)
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -8,8 +8,8 @@
 import trio
 
 from foxtailrelay_node.internal.relay.attempts import job as jobs
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.catalogue import service as services
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -55,7 +55,7 @@
         Backend servers that may be used.
     loads : LoadTracker
         This node's view of their load.
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Parts of prompts that crash servers.
     state : NodeState
         Age of the configuration, for the log.
@@ -74,7 +74,7 @@
         own_dispatcher: dispatcher.Dispatcher,
         servers: server_list.ServerList,
         loads: load_tracker.LoadTracker,
-        quarantine: prompt_quarantine.PromptQuarantine,
+        quarantine: crash_quarantine.CrashQuarantine,
         state: node_state.NodeState,
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -8,9 +8,9 @@
 from foxtailrelay_core import store_position
 import logbook
 
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -73,7 +73,7 @@
     time: corrected_clock.CorrectedClock
     lease: lease_view.LeaseView
     departures: departure_notices.DepartureNotices
-    quarantine: prompt_quarantine.PromptQuarantine
+    quarantine: crash_quarantine.CrashQuarantine
     limits: server_limits.ServerLimits
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -23,18 +23,18 @@
     ----------
     at_s : float
         When it ended, in seconds since boot.
-    sent_at_s_by_part : mapping of str to float
+    sent_at_s_by_suspect : mapping of str to float
         Shared parts of the prompts that it may just have begun to answer, and
         when the last request with each was sent; minus infinity if unknown.
     """
 
     at_s: float
-    sent_at_s_by_part: typing.Mapping[str, float]
+    sent_at_s_by_suspect: typing.Mapping[str, float]
 
     @property
-    def part_ids(self) -> typing.AbstractSet[str]:
+    def suspect_ids(self) -> typing.AbstractSet[str]:
         """The parts without their times."""
-        return self.sent_at_s_by_part.keys()
+        return self.sent_at_s_by_suspect.keys()
 
 
 class Verdict(typing.NamedTuple):
@@ -42,7 +42,7 @@
 
     Parameters
     ----------
-    part_id : str
+    suspect_id : str
         The part.
     crash_count : int
         Servers that it ended since it was last answered.
@@ -53,17 +53,17 @@
         one of them may be to blame.
     """
 
-    part_id: str
+    suspect_id: str
     crash_count: int
     last_crash_s: float
     is_ambiguous: bool
 
 
-def find_crashing_parts(
+def find_crash_causes(
     crashes: typing.Iterable[Crash],
-    answered_at_s_by_part: typing.Mapping[str, float],
-    known_part_ids: typing.AbstractSet[str],
-    answer_count_by_part: typing.Mapping[str, int] = _NO_COUNTS,
+    answered_at_s_by_suspect: typing.Mapping[str, float],
+    known_suspect_ids: typing.AbstractSet[str],
+    answer_count_by_suspect: typing.Mapping[str, int] = _NO_COUNTS,
 ) -> list[Verdict]:
     """Return the parts that explain the crashes.
 
@@ -76,66 +76,76 @@
     ----------
     crashes : iterable of Crash
         Servers of one service that ended.
-    answered_at_s_by_part : mapping of str to float
+    answered_at_s_by_suspect : mapping of str to float
         When each part was last answered.
-    known_part_ids : set of str
+    known_suspect_ids : set of str
         Parts that are known to crash servers; they explain their crashes.
-    answer_count_by_part : mapping of str to int
+    answer_count_by_suspect : mapping of str to int
         How often each part was answered.  Of parts with the same crashes the
         rarest is blamed: a frequent one is present at every server anyway.
     """
 
-    def rank(part_id: str, found: list[Crash]) -> tuple[int, int]:
-        answers = answer_count_by_part.get(part_id, 0)
-        if part_id in answered_at_s_by_part:
+    def rank(suspect_id: str, found: list[Crash]) -> tuple[int, int]:
+        answers = answer_count_by_suspect.get(suspect_id, 0)
+        if suspect_id in answered_at_s_by_suspect:
             answers = max(1, answers)
         return len(found), -answers
 
     verdicts: list[Verdict] = []
-    unexplained = [c for c in crashes if c.part_ids.isdisjoint(known_part_ids)]
+    unexplained = [
+        c for c in crashes if c.suspect_ids.isdisjoint(known_suspect_ids)
+    ]
     while True:
-        crashes_by_part = _count(unexplained, answered_at_s_by_part)
+        crashes_by_suspect = _count(unexplained, answered_at_s_by_suspect)
         blamed = {
-            part_id: found
-            for part_id, found in crashes_by_part.items()
-            if _is_proved(part_id, found, part_id in answered_at_s_by_part)
+            suspect_id: found
+            for suspect_id, found in crashes_by_suspect.items()
+            if _is_proved(
+                suspect_id, found, suspect_id in answered_at_s_by_suspect
+            )
         }
         if not blamed:
             return verdicts
-        most = max(rank(part_id, found) for part_id, found in blamed.items())
+        most = max(
+            rank(suspect_id, found) for suspect_id, found in blamed.items()
+        )
         chosen = {
-            part_id: found
-            for part_id, found in blamed.items()
-            if rank(part_id, found) == most
+            suspect_id: found
+            for suspect_id, found in blamed.items()
+            if rank(suspect_id, found) == most
         }
-        for part_id, found in chosen.items():
+        for suspect_id, found in chosen.items():
             verdicts.append(
                 Verdict(
-                    part_id,
+                    suspect_id,
                     len(found),
                     max(crash.at_s for crash in found),
                     sum(found == other for other in chosen.values()) > 1,
                 )
             )
-        unexplained = [c for c in unexplained if c.part_ids.isdisjoint(chosen)]
+        unexplained = [
+            c for c in unexplained if c.suspect_ids.isdisjoint(chosen)
+        ]
 
 
 def _count(
     crashes: typing.Iterable[Crash],
-    answered_at_s_by_part: typing.Mapping[str, float],
+    answered_at_s_by_suspect: typing.Mapping[str, float],
 ) -> dict[str, list[Crash]]:
     """Return, by part, the crashes since the part was last answered."""
-    crashes_by_part: dict[str, list[Crash]] = collections.defaultdict(list)
+    crashes_by_suspect: dict[str, list[Crash]] = collections.defaultdict(list)
     for crash in sorted(crashes, key=lambda crash: crash.at_s):
-        for part_id in crash.part_ids:
-            answered_at_s = answered_at_s_by_part.get(part_id, -math.inf)
+        for suspect_id in crash.suspect_ids:
+            answered_at_s = answered_at_s_by_suspect.get(suspect_id, -math.inf)
             if crash.at_s > answered_at_s:
-                crashes_by_part[part_id].append(crash)
-    return crashes_by_part
+                crashes_by_suspect[suspect_id].append(crash)
+    return crashes_by_suspect
 
 
-def _is_proved(part_id: str, crashes: list[Crash], was_answered: bool) -> bool:
-    has_moments = _count_moments(part_id, crashes) >= _MIN_MOMENTS
+def _is_proved(
+    suspect_id: str, crashes: list[Crash], was_answered: bool
+) -> bool:
+    has_moments = _count_moments(suspect_id, crashes) >= _MIN_MOMENTS
     has_crashes = len(crashes) >= _MIN_CRASHES
     if was_answered:
         # A frequent part is sent all the time, also between the ends of
@@ -145,13 +155,13 @@
     return has_moments or has_crashes
 
 
-def _count_moments(part_id: str, crashes: list[Crash]) -> int:
+def _count_moments(suspect_id: str, crashes: list[Crash]) -> int:
     """Return the number of moments of crashes that are sorted by time."""
     count, moment_s = 0, -math.inf
     for crash in crashes:
         if (
             crash.at_s - moment_s > _MOMENT_S
-            or crash.sent_at_s_by_part[part_id] > moment_s
+            or crash.sent_at_s_by_suspect[suspect_id] > moment_s
         ):
             count, moment_s = count + 1, crash.at_s
     return count
--- a/tests/common/crash_fleet.py
+++ b/tests/common/crash_fleet.py
@@ -6,7 +6,7 @@
 import typing
 
 from foxtailrelay_core import messages
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 
 from common import fake_clocks
 
@@ -56,8 +56,7 @@
         self.rng = random.Random(seed)
         self.clock = fake_clocks.ManualClock()
         self.quarantines = [
-            prompt_quarantine.PromptQuarantine(self.clock)
-            for _ in range(nodes)
+            crash_quarantine.CrashQuarantine(self.clock) for _ in range(nodes)
         ]
         self.requests: list[Sent] = []
         self.crashes_at_s: list[float] = []
@@ -136,7 +135,7 @@
 
     def restart_node(self, node):
         """Let a node lose what it knows."""
-        self.quarantines[node] = prompt_quarantine.PromptQuarantine(self.clock)
+        self.quarantines[node] = crash_quarantine.CrashQuarantine(self.clock)
 
     def crashing_after(self, at_s):
         """Return the crashing requests sent to engines after a time."""
@@ -203,7 +202,7 @@
         report = messages.NodeReport(
             'a', 'h', 1, False, (), (), (), (),
             crashes=quarantine.build_crashes(),
-            quarantined_parts=quarantine.build_quarantined(),
-            answered_parts=quarantine.build_answered(),
+            quarantined_suspects=quarantine.build_quarantined(),
+            answered_suspects=quarantine.build_answered(),
         )  # fmt: skip
         return messages.decode_report(messages.encode_report(report))
--- a/tests/common/engine_fleet.py
+++ b/tests/common/engine_fleet.py
@@ -9,8 +9,8 @@
 
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay.catalogue import service as services
@@ -226,7 +226,7 @@
             self._dispatcher = dispatcher.Dispatcher(
                 _ServerList(engines, self.clock),
                 _State(_Table({'m': service})),
-                prompt_quarantine.PromptQuarantine(self.clock),
+                crash_quarantine.CrashQuarantine(self.clock),
                 self.clock,
             )
         self._max_burst = max_burst
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -5,8 +5,8 @@
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay import demand_meter
@@ -154,7 +154,7 @@
         self.loads = load_tracker.LoadTracker(self.clock)
         metrics = relay_metrics.RelayMetrics()
         self.table = peer_table.PeerTable('n1', self.clock)
-        self.quarantine = prompt_quarantine.PromptQuarantine(self.clock)
+        self.quarantine = crash_quarantine.CrashQuarantine(self.clock)
         self.dispatcher = dispatcher.Dispatcher(
             self.servers, self.state, self.quarantine, self.clock
         )
--- a/tests/cover/relay/test_crash_attribution.py
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -5,20 +5,20 @@
 from foxtailrelay_node.internal.relay.policy import crash_attribution
 
 
-def _crashes(*part_ids, first_s=10.0, gap_s=1.0):
+def _crashes(*suspect_ids, first_s=10.0, gap_s=1.0):
     return [
         crash_attribution.Crash(
             first_s + gap_s * index, dict.fromkeys(ids, -math.inf)
         )
-        for index, ids in enumerate(part_ids)
+        for index, ids in enumerate(suspect_ids)
     ]
 
 
 def _blamed(crashes, answered=(), known=frozenset()):
-    verdicts = crash_attribution.find_crashing_parts(
+    verdicts = crash_attribution.find_crash_causes(
         crashes, dict(answered), known
     )
-    return {verdict.part_id for verdict in verdicts}
+    return {verdict.suspect_id for verdict in verdicts}
 
 
 def test_part_without_an_answer_is_blamed_at_the_third_crash():
@@ -85,13 +85,15 @@
 def test_of_parts_with_the_same_crashes_the_rarest_is_blamed():
     """Guards against first parts that are in flight at every engine."""
     crashes = _crashes(*[{'first', 'bad'}] * 5)
-    verdicts = crash_attribution.find_crashing_parts(
+    verdicts = crash_attribution.find_crash_causes(
         crashes,
         {'first': 9.0, 'bad': 5.0},
         frozenset(),
         {'first': 300, 'bad': 2},
     )
-    assert [(v.part_id, v.is_ambiguous) for v in verdicts] == [('bad', False)]
+    assert [(v.suspect_id, v.is_ambiguous) for v in verdicts] == [
+        ('bad', False)
+    ]
 
 
 def test_crashes_of_a_known_part_are_blamed_on_no_other_one():
@@ -106,8 +108,8 @@
 
 def test_parts_of_the_same_crashes_are_reported_as_ambiguous():
     crashes = _crashes(*[{'one', 'other'}] * 3)
-    verdicts = crash_attribution.find_crashing_parts(crashes, {}, frozenset())
-    assert {v.part_id: v.is_ambiguous for v in verdicts} == {
+    verdicts = crash_attribution.find_crash_causes(crashes, {}, frozenset())
+    assert {v.suspect_id: v.is_ambiguous for v in verdicts} == {
         'one': True,
         'other': True,
     }
--- a/tests/cover/relay/test_prompt_quarantine.py
+++ b/tests/cover/relay/test_crash_quarantine.py
@@ -3,7 +3,7 @@
 from foxtailrelay_core import errors
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.state import topic_store
 import pytest
@@ -98,11 +98,11 @@
 def test_verdict_of_a_peer_ends_when_more_crashes_have_another_cause():
     """Guards against a frequent part that a peer blamed too early."""
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     early = messages.NodeReport(
         'a', 'h', 1, False, (), (), (), (),
-        quarantined_parts=(
-            messages.QuarantinedPart('m', 'frequent', 5, 0, 600_000),
+        quarantined_suspects=(
+            messages.QuarantinedSuspect('m', 'frequent', 5, 0, 600_000),
         ),
     )  # fmt: skip
     quarantine.merge_peer_report(early, clock.now_s, 'n2')
@@ -145,7 +145,7 @@
 
 def _quarantined():
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     for number in range(3):
         _crash(quarantine, f's{number}')
         clock.now_s += 1.0
@@ -188,7 +188,7 @@
 def test_part_that_turns_bad_right_after_an_answer_is_found():
     """Guards against crashes that a recent answer hides."""
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     quarantine.record_answer('m', ['bad'])
     for number in range(5):
         clock.now_s += 0.5
@@ -231,7 +231,7 @@
 
 def test_ids_are_compared_whatever_their_case_and_length():
     long_id = 'ab' * 2000
-    quarantine = prompt_quarantine.PromptQuarantine(fake_clocks.ManualClock())
+    quarantine = crash_quarantine.CrashQuarantine(fake_clocks.ManualClock())
     for number in range(5):
         _crash(quarantine, f's{number}', [long_id])
     assert quarantine.find('m', [long_id.upper()])
@@ -239,13 +239,13 @@
 
 def test_reports_of_crashes_stay_small():
     """Guards against long prompts that fill the reports of all nodes."""
-    quarantine = prompt_quarantine.PromptQuarantine(fake_clocks.ManualClock())
+    quarantine = crash_quarantine.CrashQuarantine(fake_clocks.ManualClock())
     for number in range(200):
         parts = [f'{number:x}{index:x}' + 'a' * 400 for index in range(40)]
         _crash(quarantine, f's{number}', parts)
     crashes = quarantine.build_crashes()
     assert 0 < len(crashes)
-    assert sum(len(''.join(crash.part_ids)) for crash in crashes) < 10_000
+    assert sum(len(''.join(crash.suspect_ids)) for crash in crashes) < 10_000
 
 
 def test_answer_releases_a_part():
@@ -256,7 +256,7 @@
 
 def test_ambiguous_parts_are_told_apart_by_the_next_crash():
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     for number in range(3):
         _crash(quarantine, f's{number}', ('bad', 'victim'))
         clock.now_s += 1.0
@@ -271,7 +271,7 @@
 def test_part_whose_crashes_another_one_explains_is_released():
     """Guards against victims that stay refused once the cause is known."""
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     for number in range(3):
         _crash(quarantine, f's{number}', ('bad', 'victim'))
         clock.now_s += 0.5
@@ -284,7 +284,7 @@
 def test_parts_that_stay_ambiguous_are_kept_away_for_long():
     """Guards against one more crash every few seconds."""
     clock = fake_clocks.ManualClock()
-    quarantine = prompt_quarantine.PromptQuarantine(clock)
+    quarantine = crash_quarantine.CrashQuarantine(clock)
     for number in range(3):
         _crash(quarantine, f's{number}', ('bad', 'first'))
         clock.now_s += 1.0
--- a/tests/cover/relay/test_gossip.py
+++ b/tests/cover/relay/test_gossip.py
@@ -4,9 +4,9 @@
 
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay.catalogue import organisation
 from foxtailrelay_node.internal.relay import corrected_clock
@@ -50,7 +50,7 @@
         self.lease = lease_view.LeaseView(clock)
         self.departures = departure_notices.DepartureNotices(clock)
         self.limits = server_limits.ServerLimits(clock)
-        self.quarantine = prompt_quarantine.PromptQuarantine(clock)
+        self.quarantine = crash_quarantine.CrashQuarantine(clock)
         self.gossip = gossip_module.Gossip(
             gossip_module.Identity(
                 cluster, name, 'a', f'10.0.0.{incarnation}', 80, incarnation
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -2,7 +2,7 @@
 
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import lease_view
@@ -103,7 +103,7 @@
         rig_dispatcher = dispatcher.Dispatcher(
             _NoServers(),
             _NoState(),
-            prompt_quarantine.PromptQuarantine(clock),
+            crash_quarantine.CrashQuarantine(clock),
             clock,
         )
         self.server = exchange_server.ExchangeServer(
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -7,8 +7,8 @@
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
-from foxtailrelay_node.internal.relay.backends import prompt_quarantine
 from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay.backends import server_list
@@ -40,11 +40,11 @@
 from cover.relay import test_clocks as clocks
 from cover.relay import test_cluster_retry_budget as budgets
 from cover.relay import test_crash_attribution as attributions
+from cover.relay import test_crash_quarantine as prompts
 from cover.relay import test_dispatch as dispatches
 from cover.relay import test_gossip as gossips
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
-from cover.relay import test_prompt_quarantine as prompts
 from cover.relay import test_quota as quotas
 from cover.relay import test_request_guarantees as checks
 from cover.relay import test_server_limits as limits
@@ -66,8 +66,10 @@
         _original_record_answer(self, server, per_s)
 
 
-def _count_all(crashes, answered_at_s_by_part):
-    parts = {part_id for crash in crashes for part_id in crash.part_ids}
+def _count_all(crashes, answered_at_s_by_suspect):
+    parts = {
+        suspect_id for crash in crashes for suspect_id in crash.suspect_ids
+    }
     return dict.fromkeys(parts, list(crashes))
 
 
@@ -321,25 +323,23 @@
         gossips.test_a_copy_from_a_peer_is_no_fresher_than_at_the_peer,
     ),
     'answers do not clear parts of prompts': (
-        _set(prompt_quarantine.PromptQuarantine, 'record_answer', _always(0)),
+        _set(crash_quarantine.CrashQuarantine, 'record_answer', _always(0)),
         prompts.test_answer_releases_a_part,
     ),
     'nodes keep crashes to themselves': (
-        _set(prompt_quarantine.PromptQuarantine, 'build_crashes', _always(())),
+        _set(crash_quarantine.CrashQuarantine, 'build_crashes', _always(())),
         prompts.test_nodes_that_see_one_crash_each_reach_a_verdict_together,
     ),
     'quarantines are not passed on': (
         _set(
-            prompt_quarantine.PromptQuarantine,
+            crash_quarantine.CrashQuarantine,
             'build_quarantined',
             _always(()),
         ),
         prompts.test_node_that_starts_minutes_later_learns_the_part,
     ),
     'answers at other nodes do not clear parts': (
-        _set(
-            prompt_quarantine.PromptQuarantine, 'build_answered', _always(())
-        ),
+        _set(crash_quarantine.CrashQuarantine, 'build_answered', _always(())),
         prompts.test_part_answered_at_a_peer_needs_more_crashes,
     ),
     'a crash is blamed on every part of its prompt': (
@@ -348,7 +348,7 @@
     ),
     'victims stay in quarantine once the cause is known': (
         _set(
-            prompt_quarantine.PromptQuarantine,
+            crash_quarantine.CrashQuarantine,
             '_release_explained',
             _always(None),
         ),
