Refuse repeated requests that crash the servers that run them

Cause: only shared parts of prompts could be blamed for a crash, never a whole request, and servers without prompts were not even watched. Class: a failure is judged by what one of its inputs looks like.

The quarantine's suspects are now whole requests too, known by caller, method, path and body; crashes, answers and verdicts of both are one model and go the same way to all nodes and to the dispatcher. An ended process is found also where its port accepts and closes connections, or where the next process is listed at the address within five seconds.

test_last_part_of_a_prompt_is_never_blamed sent one whole request six times; it sends six bodies now, with the same prompt parts. Two mutants point to the functions that were moved.

--- a/packages/core/src/foxtailrelay_core/internal/error_answer.py
+++ b/packages/core/src/foxtailrelay_core/internal/error_answer.py
@@ -70,6 +70,9 @@
     _Kind.PROMPT_QUARANTINED: ErrorAnswer(
         503, 'Part of the prompt crashes backend servers', _NOT_RUN, 60
     ),
+    _Kind.REQUEST_QUARANTINED: ErrorAnswer(
+        503, 'Request crashes backend servers', _NOT_RUN, 60
+    ),
     _Kind.NOT_RUN: ErrorAnswer(503, 'Request was not run', _NOT_RUN, 2),
     _Kind.BACKEND_FAILED: ErrorAnswer(
         502, 'Backend server failed', _UNKNOWN, 2
--- a/packages/core/src/foxtailrelay_core/internal/error_kind.py
+++ b/packages/core/src/foxtailrelay_core/internal/error_kind.py
@@ -26,6 +26,7 @@
     LOG_UNAVAILABLE = 'log-unavailable'
     NO_BACKEND = 'no-backend'
     PROMPT_QUARANTINED = 'prompt-quarantined'
+    REQUEST_QUARANTINED = 'request-quarantined'
     NOT_RUN = 'not-run'
     BACKEND_FAILED = 'backend-failed'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -215,6 +215,7 @@
   excluded @10 :List(Text);
   booking @11 :UInt64;
   promptTokens @12 :UInt32;
+  fingerprint @13 :Text;
 }
 
 struct PlaceAnswer {
@@ -230,6 +231,7 @@
   isJudged @8 :Bool;
   isQuarantined @9 :Bool;
   isCounted @10 :Bool;
+  quarantinedId @11 :Text;
 }
 
 struct PlaceNote {
--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -28,6 +28,9 @@
         Ids of servers that must not be chosen.
     booking : int
         Id of the reservation, which later notes refer to.
+    fingerprint : str
+        Equal for requests that differ only in their ids; empty from older
+        releases.
     """
 
     request_id: str
@@ -43,6 +46,7 @@
     is_repeat: bool
     excluded: tuple[str, ...]
     booking: int
+    fingerprint: str = ''
 
 
 class PlaceAnswer(typing.NamedTuple):
@@ -65,9 +69,11 @@
     is_judged : bool
         False if the dispatcher lacked the state to decide.
     is_quarantined : bool
-        Whether the request was refused for a part of its prompt.
+        Whether the request was refused because it crashes servers.
     is_counted : bool
         Whether the request counts against the limit that the server named.
+    quarantined_id : str
+        The part of the prompt, or the fingerprint, that it was refused for.
     """
 
     server: str
@@ -81,6 +87,7 @@
     is_judged: bool
     is_quarantined: bool = False
     is_counted: bool = False
+    quarantined_id: str = ''
 
 
 class PlaceEvent(enum.IntEnum):
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -45,7 +45,7 @@
     servers, server_follower : ServerList, TopicFollower
         The list of servers, and the follower that updates it.
     quarantine : CrashQuarantine
-        Parts of prompts that crash servers.
+        Requests that crash servers.
     loads, quota, budget, usage, demand
         Counters of this node and, except for demand, of its peers.
     """
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -36,7 +36,7 @@
     loads : LoadTracker
         This node's view of their load.
     quarantine : CrashQuarantine
-        Parts of prompts that crash servers.
+        Requests that crash servers.
     placer : RequestPlacer
         Chooses among them.
     pool : BackendPool
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -6,20 +6,19 @@
 import trio
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
-from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.policy import placement_result
+from foxtailrelay_node.internal.relay.policy import request_fingerprint
 from foxtailrelay_node.internal.relay import wire_format
 
 _LOG = logbook.Logger('foxtailrelay.requests')
 _CONNECT_TIMEOUT_S = 0.5
-# A prompt that crashes its server does so within this time of the first event.
-_CRASH_DELAY_S = 1.0
 # With less time before its deadline a request is not sent.
 _MIN_REMAINING_S = 0.02
 # Delay before the retry of a request that another server can probably accept.
@@ -43,6 +42,7 @@
 
     def __init__(self, context: attempt_context.AttemptContext) -> None:
         self._context = context
+        self._evidence = crash_evidence.CrashEvidence(context)
 
     async def run(
         self,
@@ -108,7 +108,7 @@
             # Keys, servers and quarantines may have changed while connecting.
             refusal = self._recheck_key(job)
             if refusal is None:
-                refusal = self._recheck_prompt(job, progress)
+                refusal = self._recheck_quarantine(job, progress)
             if refusal is not None:
                 await backend.aclose()
                 return refusal
@@ -120,10 +120,9 @@
             )
             self._record_result(job, placed, progress, result)
             event = _EVENT_BY_RESULT[type(result)]
-            is_crash = await self._has_crashed_server(
+            is_crash = await self._evidence.record(
                 job, server, progress, result
             )
-            self._record_evidence(job, server, progress, result, is_crash)
             if is_crash:
                 event = messages.PlaceEvent.FAILED
             if _is_quiet_request(result):
@@ -138,9 +137,12 @@
         progress: progresses.Progress,
         result: placement_result.NotPlaced,
     ) -> errors.Failure:
-        if result.is_quarantined:
+        if result.quarantined_id:
             return _quarantine_failure(
-                result.why, result.retry_after_s, progress
+                result.quarantined_id,
+                result.why,
+                result.retry_after_s,
+                progress,
             )
         self._context.budget.record_refusal(job.service, self._context.now_s())
         if progress.may_have_run:
@@ -200,16 +202,17 @@
             )
         return None
 
-    def _recheck_prompt(
+    def _recheck_quarantine(
         self, job: jobs.Job, progress: progresses.Progress
     ) -> errors.Failure | None:
-        """Return a failure if a part of the prompt is now in quarantine."""
+        """Return a failure if the request is now in quarantine."""
         quarantine = self._context.quarantine.find(
-            job.service, job.shared_part_ids
+            job.service, job.suspect_ids
         )
         if quarantine is None:
             return None
         return _quarantine_failure(
+            quarantine.suspect_id,
             quarantine.why,
             self._context.quarantine.remaining_s(quarantine),
             progress,
@@ -303,53 +306,6 @@
                 fields['status'] = head.status
         _LOG.info('attempt-ended', extra=fields)
 
-    async def _has_crashed_server(
-        self,
-        job: jobs.Job,
-        server: backend_server.BackendServer,
-        progress: progresses.Progress,
-        result: results.Result,
-    ) -> bool:
-        """Whether the server ended while it may have begun this answer."""
-        listed = self._context.servers.find_usable(server.id)
-        if listed is None or listed.instance_key != server.instance_key:
-            return False
-        match result:
-            case results.Broken(is_disconnect=True, reason=reason):
-                pass
-            case results.Done(is_close_delimited=True):
-                reason = 'the connection ended the answer'
-            case _:
-                return False
-        if not await self._context.end_checker.has_ended(server, reason):
-            return False
-        first_at_s = progress.attempt_first_event_at_s
-        return bool(job.shared_part_ids) and (
-            first_at_s is None
-            or self._context.now_s() - first_at_s < _CRASH_DELAY_S
-        )
-
-    def _record_evidence(
-        self,
-        job: jobs.Job,
-        server: backend_server.BackendServer,
-        progress: progresses.Progress,
-        result: results.Result,
-        is_crash: bool,
-    ) -> None:
-        """Record what an attempt tells about the parts of its prompt."""
-        if is_crash:
-            self._context.quarantine.record_crash(
-                job.service,
-                server.instance_key,
-                job.shared_part_ids,
-                progress.attempt_sent_at_s,
-            )
-        elif isinstance(result, results.Done) and job.shared_part_ids:
-            self._context.quarantine.record_answer(
-                job.service, job.shared_part_ids
-            )
-
     def _record_cancelled(
         self,
         job: jobs.Job,
@@ -430,15 +386,17 @@
 
 
 def _quarantine_failure(
-    why: str, remaining_s: float, progress: progresses.Progress
+    suspect_id: str,
+    why: str,
+    remaining_s: float,
+    progress: progresses.Progress,
 ) -> errors.Failure:
     if progress.may_have_run:
         return errors.Failure(errors.ErrorKind.BACKEND_FAILED, why)
-    return errors.Failure(
-        errors.ErrorKind.PROMPT_QUARANTINED,
-        why,
-        retry_after_s=round(remaining_s, 2),
-    )
+    kind = errors.ErrorKind.PROMPT_QUARANTINED
+    if request_fingerprint.is_fingerprint(suspect_id):
+        kind = errors.ErrorKind.REQUEST_QUARANTINED
+    return errors.Failure(kind, why, retry_after_s=round(remaining_s, 2))
 
 
 def _is_quiet_request(result: results.Result) -> bool:
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
@@ -0,0 +1,97 @@
+"""Records what attempts show about requests that crash servers."""
+
+from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import job as jobs
+from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.backends import backend_server
+
+# A prompt that crashes its server does so within this time of the first event.
+_PROMPT_CRASH_DELAY_S = 1.0
+_FIRST_SERVER_ERROR = 500
+
+
+class CrashEvidence:
+    """Records crashes and answers of a node's attempts.
+
+    Parameters
+    ----------
+    context : AttemptContext
+        The components of the node.
+    """
+
+    def __init__(self, context: attempt_context.AttemptContext) -> None:
+        self._context = context
+
+    async def record(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        result: results.Result,
+    ) -> bool:
+        """Record an attempt; return whether its prompt may have crashed it."""
+        reason = _find_disconnect(job, result)
+        if reason is None or not self._is_expected_to_run(server):
+            self._record_answer(job, result)
+            return False
+        at_s = self._context.now_s()
+        suspect_ids = self._find_suspects(job, progress)
+
+        def record_end() -> None:
+            self._context.quarantine.record_crash(
+                job.service,
+                server.instance_key,
+                suspect_ids,
+                progress.attempt_sent_at_s,
+                at_s=at_s,
+            )
+
+        if await self._context.end_checker.has_ended(server, reason):
+            record_end()
+            return suspect_ids == job.suspect_ids
+        self._context.end_checker.watch(server, reason, record_end)
+        self._record_answer(job, result)
+        return False
+
+    def _record_answer(self, job: jobs.Job, result: results.Result) -> None:
+        match result:
+            case results.Done():
+                pass
+            case results.ServerFailure(head=head):
+                # A server in need may answer so without running the request.
+                if head.status >= _FIRST_SERVER_ERROR:
+                    return
+            case _:
+                return
+        self._context.quarantine.record_answer(job.service, job.suspect_ids)
+
+    def _is_expected_to_run(
+        self, server: backend_server.BackendServer
+    ) -> bool:
+        """Whether this instance has neither announced its end nor left."""
+        servers = self._context.servers
+        return not servers.has_announced_end(server) and (
+            servers.is_listed(server) or servers.is_replaced(server)
+        )
+
+    def _find_suspects(
+        self, job: jobs.Job, progress: progresses.Progress
+    ) -> tuple[str, ...]:
+        first_at_s = progress.attempt_first_event_at_s
+        if (
+            first_at_s is None
+            or self._context.now_s() - first_at_s < _PROMPT_CRASH_DELAY_S
+        ):
+            return job.suspect_ids
+        return (job.fingerprint,)
+
+
+def _find_disconnect(job: jobs.Job, result: results.Result) -> str | None:
+    """Return how the connection ended before an answer surely did."""
+    match result:
+        case results.Broken(is_disconnect=True, reason=reason):
+            return reason
+        case results.Done(is_close_delimited=True) if job.shared_part_ids:
+            return 'the connection ended the answer'
+    return None
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/job.py
@@ -33,6 +33,11 @@
     deadline_s: float
     fingerprint: str
 
+    @property
+    def suspect_ids(self) -> tuple[str, ...]:
+        """What may be to blame if a server ends under this request."""
+        return (self.fingerprint, *self.shared_part_ids)
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Ids of the parts of the prompt that other requests may have.
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -1,6 +1,7 @@
 """The backend servers that may be used."""
 
 import abc
+import collections
 import typing
 
 import logbook
@@ -18,6 +19,7 @@
 # Specification of the platform: running servers renew their entries within
 # this time after a store outage.
 LAPSED_RETENTION_S = 2.0
+_MAX_DRAINING_KEYS = 1000
 
 
 class ServerDecoder(abc.ABC):
@@ -74,6 +76,9 @@
         self.limits = server_limits.ServerLimits(clock)
         self._server_by_id: dict[str, backend_server.BackendServer] = {}
         self._lapsed_at_s_by_id: dict[str, float] = {}
+        self._draining_keys: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     def handle_records(
         self, records: typing.Sequence[topic_store.KeyedRecord]
@@ -159,6 +164,29 @@
             and self.quiet_periods.remaining_s(listed) == 0
         )
 
+    def is_listed(self, server: backend_server.BackendServer) -> bool:
+        """Whether this instance is in the list."""
+        listed = self._server_by_id.get(server.id)
+        return (
+            listed is not None and listed.instance_key == server.instance_key
+        )
+
+    def has_announced_end(self, server: backend_server.BackendServer) -> bool:
+        """Whether this instance is leaving, or was before it was replaced."""
+        return (
+            server.instance_key in self._draining_keys
+            or self.departures.is_leaving(server)
+        )
+
+    def is_replaced(self, server: backend_server.BackendServer) -> bool:
+        """Whether another instance is listed at the address of this one."""
+        return any(
+            (listed.host, listed.port) == (server.host, server.port)
+            and listed.instance_key != server.instance_key
+            and listed.started_ms >= server.started_ms
+            for listed in self._server_by_id.values()
+        )
+
     def _is_leaving(self, server: backend_server.BackendServer) -> bool:
         return server.is_draining or self.departures.is_leaving(server)
 
@@ -176,6 +204,10 @@
             self._lapsed_at_s_by_id.pop(record.key, None)
             return
         self._lapsed_at_s_by_id.pop(record.key, None)
+        if decoded.is_draining:
+            self._draining_keys[decoded.instance_key] = None
+            if len(self._draining_keys) > _MAX_DRAINING_KEYS:
+                self._draining_keys.popitem(last=False)
         known = self._server_by_id.get(record.key)
         self._server_by_id[record.key] = decoded
         if known != decoded:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import quarantine as quarantines
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -48,7 +49,7 @@
     expires_at_s: float
     has_first_event: bool
     reserved_at_s: float
-    shared_part_ids: tuple[str, ...]
+    suspect_ids: tuple[str, ...]
 
 
 class _Overload(typing.NamedTuple):
@@ -75,8 +76,7 @@
     state : NodeState
         The configuration in force.
     quarantine : CrashQuarantine
-        Parts of prompts that crash servers; learns from the ends of
-        reservations.
+        Requests that crash servers; updated by the ends of reservations.
     clock : Clock
         Clock for reservations and overloads.
     """
@@ -113,7 +113,7 @@
         servers = self._servers.usable(call.service)
         if service is None or service.model is None or not servers:
             return NO_DECISION
-        quarantine = self._quarantine.find(call.service, call.part_ids[:-1])
+        quarantine = self._quarantine.find(call.service, _suspect_ids(call))
         if quarantine is not None:
             return self._refuse_quarantined(quarantine)
         excluded = set(call.excluded)
@@ -158,14 +158,12 @@
             self._quarantine.record_crash(
                 service,
                 reservation.server.instance_key,
-                reservation.shared_part_ids,
+                reservation.suspect_ids,
                 reservation.reserved_at_s,
                 is_own=False,
             )
         elif note.event is messages.PlaceEvent.DONE:
-            self._quarantine.record_answer(
-                service, reservation.shared_part_ids
-            )
+            self._quarantine.record_answer(service, reservation.suspect_ids)
         if note.event is messages.PlaceEvent.DONE:
             self._loads.record_success(reservation.server)
         elif note.event is messages.PlaceEvent.FAILED:
@@ -204,7 +202,7 @@
             self._clock.boot_s() + timeout_s,
             False,
             self._clock.boot_s(),
-            tuple(part.id for part in parts[:-1]),
+            _suspect_ids(call),
         )
 
     def _refuse(
@@ -229,15 +227,16 @@
         return _build_refusal(result, delay_s)
 
     def _refuse_quarantined(
-        self, quarantine: crash_quarantine.Quarantine
+        self, quarantine: quarantines.Quarantine
     ) -> messages.PlaceAnswer:
-        """Refuse a request for a part of its prompt."""
+        """Refuse a request that crashes servers."""
         remaining_s = self._quarantine.remaining_s(quarantine)
         return NO_DECISION._replace(
             why=quarantine.why,
             retry_after_ms=int(remaining_s * 1000),
             is_judged=True,
             is_quarantined=True,
+            quarantined_id=quarantine.suspect_id,
         )
 
     def _record_first_event(
@@ -256,6 +255,13 @@
         self._loads.record_end(reservation.server)
 
 
+def _suspect_ids(call: messages.PlaceCall) -> tuple[str, ...]:
+    """Return what may be to blame if a server ends under the request."""
+    if not call.fingerprint:
+        return call.part_ids[:-1]
+    return (call.fingerprint, *call.part_ids[:-1])
+
+
 def _build_demand(
     call: messages.PlaceCall, parts: tuple[caller_request.PromptPart, ...]
 ) -> demands.Demand:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -56,7 +56,7 @@
     loads : LoadTracker
         This node's view of their load.
     quarantine : CrashQuarantine
-        Parts of prompts that crash servers.
+        Requests that crash servers.
     state : NodeState
         Age of the configuration, for the log.
     metrics : RelayMetrics
@@ -104,13 +104,13 @@
         """Choose a server, or return the delay before a retry."""
         service = job.access.table.service_by_name.get(job.service)
         is_model = service is not None and service.model is not None
-        quarantine = self._quarantine.find(job.service, job.shared_part_ids)
+        quarantine = self._quarantine.find(job.service, job.suspect_ids)
         if quarantine is not None:
             result = placement_result.NotPlaced(
                 quarantine.why,
                 self._quarantine.remaining_s(quarantine),
                 True,
-                True,
+                quarantine.suspect_id,
             )
             self._log_result(job, result, 'self')
             return result
@@ -232,12 +232,16 @@
         """Convert a dispatcher's answer; None if it cannot be used."""
         if not answer.is_judged:
             return None
+        quarantined_id = ''
+        if answer.is_quarantined:
+            # Older releases quarantine only parts and do not name them.
+            quarantined_id = answer.quarantined_id or 'unknown'
         if not answer.server:
             return placement_result.NotPlaced(
                 answer.why,
                 answer.retry_after_ms / 1000,
                 True,
-                answer.is_quarantined,
+                quarantined_id,
             )
         server = self._servers.find_usable(answer.server)
         if (
@@ -289,6 +293,7 @@
             is_retry,
             tuple(sorted(excluded)),
             random.getrandbits(64),
+            job.fingerprint,
         )
 
     def _build_demand(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -1,18 +1,43 @@
-"""Decides which parts of prompts crash backend servers."""
+"""Decides which requests, or parts of prompts, crash backend servers."""
 
 import collections
 import math
 import typing
 
-# A part is blamed for crashes at this many different moments.
-_MIN_MOMENTS = 3
-# Enough also at one moment, for a part that no server has ever answered.  One
-# that was answered before may only be frequent, and needs both.
-_MIN_CRASHES = 5
+from foxtailrelay_node.internal.relay.policy import request_fingerprint
+
+
+class _Threshold(typing.NamedTuple):
+    """Evidence that blames a suspect.
+
+    Parameters
+    ----------
+    crashes, moments : int
+        Servers that ended, at this many different moments.
+    crashes_at_once : int or None
+        Servers that suffice also if they ended at one moment.
+    min_spread_s : float
+        Time from the first to the last end.
+    """
+
+    crashes: int
+    moments: int
+    crashes_at_once: int | None
+    min_spread_s: float = -1.0
+
+
 # Servers that end within this time of each other may have a cause of their
 # own, such as a rack or a network that failed, unless each of them ended under
 # a request that was sent after the end of the one before.
 _MOMENT_S = 0.25
+# A part that was answered before may only be frequent, so that it is sent all
+# the time, also between the ends of servers that fail together.
+_PART = _Threshold(3, 3, 5)
+_ANSWERED_PART = _Threshold(5, 3, None, _MOMENT_S)
+# A whole request is rarely at many servers unless it is sent on from one to
+# the next.
+_REQUEST = _Threshold(3, 2, 5)
+_ANSWERED_REQUEST = _Threshold(4, 2, None)
 _NO_COUNTS: typing.Mapping[str, int] = {}
 
 
@@ -24,8 +49,9 @@
     at_s : float
         When it ended, in seconds since boot.
     sent_at_s_by_suspect : mapping of str to float
-        Shared parts of the prompts that it may just have begun to answer, and
-        when the last request with each was sent; minus infinity if unknown.
+        The requests that it had not answered, the shared parts of prompts
+        that it may just have begun to answer, and when the last request with
+        each was sent; minus infinity if unknown.
     """
 
     at_s: float
@@ -33,30 +59,33 @@
 
     @property
     def suspect_ids(self) -> typing.AbstractSet[str]:
-        """The parts without their times."""
+        """The suspects without their times."""
         return self.sent_at_s_by_suspect.keys()
 
 
 class Verdict(typing.NamedTuple):
-    """A part that crashes servers.
+    """A suspect that crashes servers.
 
     Parameters
     ----------
     suspect_id : str
-        The part.
+        The part or the request.
     crash_count : int
         Servers that it ended since it was last answered.
     last_crash_s : float
         When the last of them ended.
     is_ambiguous : bool
-        Whether another part was present at the same crashes, so that only
+        Whether another suspect was present at the same crashes, so that only
         one of them may be to blame.
+    was_answered : bool
+        Whether it was answered before these crashes.
     """
 
     suspect_id: str
     crash_count: int
     last_crash_s: float
     is_ambiguous: bool
+    was_answered: bool
 
 
 def find_crash_causes(
@@ -65,23 +94,23 @@
     known_suspect_ids: typing.AbstractSet[str],
     answer_count_by_suspect: typing.Mapping[str, int] = _NO_COUNTS,
 ) -> list[Verdict]:
-    """Return the parts that explain the crashes.
+    """Return the suspects that explain the crashes.
 
-    Designed for prompts of which many share some parts, and for servers that
-    answer dozens of them at a time: each crash hits sound requests as well.
-    An answer clears the parts of its prompt.  The part with the most crashes
-    explains them, so they count against no other part.
+    Designed for servers that answer dozens of requests at a time, many of them
+    alike or with shared parts: each crash hits sound requests as well.  An
+    answer clears its suspects.  The suspect with the most crashes explains
+    them, so they count against no other one.
 
     Parameters
     ----------
     crashes : iterable of Crash
         Servers of one service that ended.
     answered_at_s_by_suspect : mapping of str to float
-        When each part was last answered.
+        When each suspect was last answered.
     known_suspect_ids : set of str
-        Parts that are known to crash servers; they explain their crashes.
+        Suspects that are known to be causes; they explain their crashes.
     answer_count_by_suspect : mapping of str to int
-        How often each part was answered.  Of parts with the same crashes the
+        How often each was answered.  Of suspects with the same crashes the
         rarest is blamed: a frequent one is present at every server anyway.
     """
 
@@ -106,6 +135,7 @@
         }
         if not blamed:
             return verdicts
+        blamed = _prefer_unanswered(blamed, answered_at_s_by_suspect, rank)
         most = max(
             rank(suspect_id, found) for suspect_id, found in blamed.items()
         )
@@ -121,6 +151,7 @@
                     len(found),
                     max(crash.at_s for crash in found),
                     sum(found == other for other in chosen.values()) > 1,
+                    suspect_id in answered_at_s_by_suspect,
                 )
             )
         unexplained = [
@@ -128,11 +159,35 @@
         ]
 
 
+def _prefer_unanswered(
+    blamed: dict[str, list[Crash]],
+    answered_at_s_by_suspect: typing.Mapping[str, float],
+    rank: typing.Callable[[str, list[Crash]], tuple[int, int]],
+) -> dict[str, list[Crash]]:
+    """Drop suspects that were answered if others explain their crashes.
+
+    Where two requests crash servers by turns, a poll that is at every server
+    is at the crashes of both.
+    """
+    first_id = max(blamed, key=lambda s: rank(s, blamed[s]))
+    if first_id not in answered_at_s_by_suspect:
+        return blamed
+    unanswered = {
+        suspect_id: found
+        for suspect_id, found in blamed.items()
+        if suspect_id not in answered_at_s_by_suspect
+    }
+    for crash in blamed[first_id]:
+        if crash.suspect_ids.isdisjoint(unanswered):
+            return blamed
+    return unanswered
+
+
 def _count(
     crashes: typing.Iterable[Crash],
     answered_at_s_by_suspect: typing.Mapping[str, float],
 ) -> dict[str, list[Crash]]:
-    """Return, by part, the crashes since the part was last answered."""
+    """Return, by suspect, the crashes since it was last answered."""
     crashes_by_suspect: dict[str, list[Crash]] = collections.defaultdict(list)
     for crash in sorted(crashes, key=lambda crash: crash.at_s):
         for suspect_id in crash.suspect_ids:
@@ -145,14 +200,20 @@
 def _is_proved(
     suspect_id: str, crashes: list[Crash], was_answered: bool
 ) -> bool:
-    has_moments = _count_moments(suspect_id, crashes) >= _MIN_MOMENTS
-    has_crashes = len(crashes) >= _MIN_CRASHES
-    if was_answered:
-        # A frequent part is sent all the time, also between the ends of
-        # servers that fail together.
-        is_spread = crashes[-1].at_s - crashes[0].at_s > _MOMENT_S
-        return has_moments and has_crashes and is_spread
-    return has_moments or has_crashes
+    if request_fingerprint.is_fingerprint(suspect_id):
+        threshold = _ANSWERED_REQUEST if was_answered else _REQUEST
+    else:
+        threshold = _ANSWERED_PART if was_answered else _PART
+    if (
+        threshold.crashes_at_once is not None
+        and len(crashes) >= threshold.crashes_at_once
+    ):
+        return True
+    return (
+        len(crashes) >= threshold.crashes
+        and _count_moments(suspect_id, crashes) >= threshold.moments
+        and crashes[-1].at_s - crashes[0].at_s > threshold.min_spread_s
+    )
 
 
 def _count_moments(suspect_id: str, crashes: list[Crash]) -> int:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/placement_result.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/placement_result.py
@@ -44,12 +44,12 @@
         Seconds until a server is expected to have capacity.
     has_servers : bool
         Whether the service has any server at all.
-    is_quarantined : bool
-        Whether a part of the prompt crashes servers, so that no capacity
-        is lacking.
+    quarantined_id : str
+        The part of the prompt, or the fingerprint of the request, that
+        crashes servers, so that no capacity is lacking; empty otherwise.
     """
 
     why: str
     retry_after_s: float
     has_servers: bool
-    is_quarantined: bool = False
+    quarantined_id: str = ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -57,6 +57,11 @@
             'Parts of prompts that crash servers and are not sent to them.',
             registry=self.registry,
         )
+        self.quarantined_requests = prometheus_client.Gauge(
+            'foxtailrelay_quarantined_requests',
+            'Repeated requests that crash servers and are not sent to them.',
+            registry=self.registry,
+        )
         self.peers_up = prometheus_client.Gauge(
             'foxtailrelay_peers_up',
             'Other nodes that were heard of lately.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -69,8 +69,10 @@
         )
         self._timer = request_timer.RequestTimer(clock)
         dialer = sockets.TcpDialer()
-        self._end_checker = server_end_checker.ServerEndChecker(dialer)
         self._view = cluster_view.ClusterView(settings, ports, clock)
+        self._end_checker = server_end_checker.ServerEndChecker(
+            dialer, self._view.servers, clock
+        )
         self._peers = peering.Peering(
             settings, ports, self._view, dialer, self._metrics, clock
         )
@@ -142,6 +144,7 @@
                 ('timer', self._timer.run),
                 *((f.topic, f.run) for f in self._view.followers),
                 ('peers', self._peers.run),
+                ('end checks', self._end_checker.run),
                 ('duties', self._duties.run),
                 ('settings', self._settings_watcher.run),
                 ('maintenance', self._run_maintenance),
@@ -196,7 +199,9 @@
         metrics.in_flight.set(self._relay.in_flight)
         state = self._view.state
         metrics.configuration_age_seconds.set(state.age_s())
-        metrics.quarantined_parts.set(self._view.quarantine.count())
+        quarantine = self._view.quarantine
+        metrics.quarantined_parts.set(quarantine.count(is_request=False))
+        metrics.quarantined_requests.set(quarantine.count(is_request=True))
         metrics.peers_up.set(len(self._peers.gossip.peers.live()))
         if state.table is not None:
             metrics.configuration_version.set(state.table.version)
--- a/tests/common/crash_fleet.py
+++ b/tests/common/crash_fleet.py
@@ -13,6 +13,7 @@
 SERVICE = 'm'
 _FIRST_EVENT_S = 0.1
 _CRASH_S = 0.07
+_PLAIN_ANSWER_S = 0.03
 _BOOT_S = 4.0
 _SUSPECT_S = 1.0
 _GOSSIP_INTERVAL_S = 0.5
@@ -112,6 +113,17 @@
 
         send()
 
+    def start_requests(self, ids, per_s, clump=1, is_crashing=False):
+        """Send whole requests, each with one fingerprint, from now on."""
+
+        def send():
+            for _ in range(clump):
+                suspect_ids = (self.rng.choice(ids),)
+                self._send(suspect_ids, is_crashing, 1, _PLAIN_ANSWER_S)
+            self.at(self.rng.expovariate(per_s / clump), send)
+
+        send()
+
     def end_engine(self, engine, is_counted=False):
         """End an engine; it is replaced later."""
         running = self._running_by_engine.pop(engine, None)
@@ -153,7 +165,7 @@
         sound = [sent for sent in self.requests if not sent.is_crashing]
         return sum(sent.was_refused for sent in sound) / len(sound)
 
-    def _send(self, part_ids, is_crashing, retries):
+    def _send(self, part_ids, is_crashing, retries, answer_s=None):
         node = self.rng.randrange(len(self.quarantines))
         quarantine = self.quarantines[node].find(SERVICE, part_ids)
         was_refused = quarantine is not None
@@ -171,7 +183,7 @@
         def end():
             if engine not in self._running_by_engine:
                 if retries:
-                    self._send(part_ids, is_crashing, retries - 1)
+                    self._send(part_ids, is_crashing, retries - 1, answer_s)
             elif is_crashing:
                 self.end_engine(engine, is_counted=True)
                 self.at(0.05, end)
@@ -180,7 +192,9 @@
                 self.quarantines[node].record_answer(SERVICE, part_ids)
 
         duration_s = _CRASH_S
-        if not is_crashing:
+        if not is_crashing and answer_s is not None:
+            duration_s = self.rng.expovariate(1 / answer_s)
+        elif not is_crashing:
             duration_s = _FIRST_EVENT_S + self.rng.expovariate(1 / 1.5)
         self.at(duration_s, end)
 
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -102,11 +102,14 @@
     def __init__(self, nursery):
         self.backend_by_host = {}
         self.connected_hosts = []
+        self.closing_hosts = set()
         self._nursery = nursery
 
     async def connect(self, host, port):
         await trio.lowlevel.checkpoint()
         self.connected_hosts.append(host)
+        if host in self.closing_hosts:
+            return await _closed_stream()
         backend = self.backend_by_host.get(host)
         if backend is None:
             raise ConnectionRefusedError('refused')
@@ -115,6 +118,12 @@
         return near
 
 
+async def _closed_stream():
+    near, far = testing.memory_stream_pair()
+    await far.aclose()
+    return near
+
+
 class _EndCheckDialer(sockets.Dialer):
     """Accepts for the backends of another dialer, without starting them."""
 
@@ -123,6 +132,8 @@
 
     async def connect(self, host, port):
         await trio.lowlevel.checkpoint()
+        if host in self._dialer.closing_hosts:
+            return await _closed_stream()
         if host not in self._dialer.backend_by_host:
             raise ConnectionRefusedError('refused')
         return testing.memory_stream_pair()[0]
@@ -160,6 +171,10 @@
         )
         links = dispatch_client.DispatchClient(self.dialer)
         nursery.start_soon(links.run)
+        self.end_checker = server_end_checker.ServerEndChecker(
+            _EndCheckDialer(self.dialer), self.servers, self.clock
+        )
+        nursery.start_soon(self.end_checker.run)
         timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(timer.run)
         wire = header_format.HeaderFormat()
@@ -191,9 +206,7 @@
                     pool=backend_pool.BackendPool(
                         self.dialer, self.clock.boot_s
                     ),
-                    end_checker=server_end_checker.ServerEndChecker(
-                        _EndCheckDialer(self.dialer)
-                    ),
+                    end_checker=self.end_checker,
                     budget=self.budget,
                     usage=self.usage,
                     wire=wire,
@@ -257,13 +270,21 @@
     def __init__(self, stream):
         self.stream = stream
 
-    async def send(self, path, *headers, method='POST', body=b''):
+    async def send(
+        self,
+        path,
+        *headers,
+        method='POST',
+        body=b'',
+        request_id='r1',
+        key='k1',
+    ):
         """Send a request with an API key and the usual headers."""
         lines = [
             f'{method} {path} HTTP/1.1',
             'Host: h',
-            'Request-Id: r1',
-            'Authorization: Token k1',
+            f'Request-Id: {request_id}',
+            f'Authorization: Token {key}',
             *headers,
         ]
         if body or method == 'POST':
--- a/tests/cover/relay/test_crash_attribution.py
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -106,6 +106,12 @@
     assert _blamed(crashes) == {'bad1', 'bad2'}
 
 
+def test_poll_at_the_crashes_of_two_requests_is_not_blamed():
+    """Guards against a poll that is at every server of a small service."""
+    crashes = _crashes(*[{'bad1', 'poll'}, {'bad2', 'poll'}] * 3)
+    assert _blamed(crashes, {'poll': 1.0}) == {'bad1', 'bad2'}
+
+
 def test_parts_of_the_same_crashes_are_reported_as_ambiguous():
     crashes = _crashes(*[{'one', 'other'}] * 3)
     verdicts = crash_attribution.find_crash_causes(crashes, {}, frozenset())
--- a/tests/cover/relay/test_crash_quarantine.py
+++ b/tests/cover/relay/test_crash_quarantine.py
@@ -304,10 +304,10 @@
     return serve
 
 
-async def _send(rig, path='/stream/x', prompt=_PROMPT):
+async def _send(rig, path='/stream/x', prompt=_PROMPT, body=b''):
     rig.confirm_configuration(relay_rig.encode_configuration())
     caller = rig.connect()
-    await caller.send(path, *prompt)
+    await caller.send(path, *prompt, body=body)
     return await caller.receive()
 
 
@@ -361,7 +361,7 @@
     requests = []
     for index in range(1, 7):
         rig.add_server('model', index, _crashing_backend(rig, index, requests))
-        await _send(rig, prompt=('Prompt-Prefix: c1:20',))
+        await _send(rig, prompt=('Prompt-Prefix: c1:20',), body=b'%d' % index)
         await trio.sleep(1.0)
     assert len(requests) == 6
 
@@ -478,7 +478,9 @@
 async def test_engine_that_is_cut_off_or_without_power_has_not_ended(rig):
     rig.add_server('model', 1, None)
     (server,) = rig.servers.usable('model')
-    checker = server_end_checker.ServerEndChecker(_SilentDialer())
+    checker = server_end_checker.ServerEndChecker(
+        _SilentDialer(), rig.servers, rig.clock
+    )
     start_s = trio.current_time()
     assert not await checker.has_ended(server, 'connection lost')
     assert trio.current_time() - start_s <= 0.2
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -1,10 +1,12 @@
 """Disables each safety mechanism of the relay and checks that a test fails."""
 
+import itertools
 import math
 
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
+from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
@@ -29,6 +31,7 @@
 from foxtailrelay_node.internal.relay.policy import crash_attribution
 from foxtailrelay_node.internal.relay.policy import limit_share
 from foxtailrelay_node.internal.relay.policy import quota
+from foxtailrelay_node.internal.relay.policy import request_fingerprint
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay.state import keyed_view
 from foxtailrelay_node.internal.relay.state import store_health
@@ -46,6 +49,7 @@
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
 from cover.relay import test_quota as quotas
+from cover.relay import test_repeated_requests as repeats
 from cover.relay import test_request_guarantees as checks
 from cover.relay import test_server_limits as limits
 from cover.relay import test_server_list as lists
@@ -58,6 +62,7 @@
     return lambda *args, **kwargs: value
 
 
+_NUMBERS = itertools.count()
 _original_record_answer = server_limits.ServerLimits.record_answer
 
 
@@ -357,8 +362,8 @@
     'a reset connection counts as an ended server': (
         _set(
             server_end_checker.ServerEndChecker,
-            '_is_refused',
-            _always_async(True),
+            '_check_address',
+            _always_async('always'),
         ),
         prompts.test_reset_connection_of_a_running_engine_is_not_blamed,
     ),
@@ -367,13 +372,49 @@
         prompts.test_engine_that_announced_its_end_is_not_blamed_on_the_prompt,
     ),
     'long answers are blamed for the end of their server': (
-        _set(attempt_runner, '_CRASH_DELAY_S', math.inf),
+        _set(crash_evidence, '_PROMPT_CRASH_DELAY_S', math.inf),
         prompts.test_engine_that_ends_late_in_an_answer_is_not_blamed,
     ),
     'answers that end with their connection are not checked': (
         _set(backend_connection, '_is_close_delimited', _always(False)),
         prompts.test_close_delimited_stream_of_a_crashed_engine_is_blamed,
     ),
+    'requests are known again by their id': (
+        _set(
+            request_fingerprint,
+            'fingerprint',
+            lambda *fields: f'request:{next(_NUMBERS)}',
+        ),
+        repeats.test_fourth_request_is_refused_at_once_as_not_run,
+    ),
+    'bodies of a caller are not told apart': (
+        _set(
+            request_fingerprint,
+            'fingerprint',
+            lambda caller, method, target, body: f'request:{caller}{target}',
+        ),
+        repeats.test_other_requests_are_served,
+    ),
+    'servers that close new connections count as running': (
+        _set(server_end_checker, '_CLOSE_TIMEOUT_S', 0.0),
+        repeats.test_server_that_closes_new_connections_has_ended,
+    ),
+    'servers that have started again are not noticed': (
+        _set(server_list.ServerList, 'is_replaced', _always(False)),
+        repeats.test_server_that_has_started_again_had_ended,
+    ),
+    'errors of grey servers clear a request': (
+        _set(crash_evidence, '_FIRST_SERVER_ERROR', 600),
+        repeats.test_errors_of_a_server_do_not_clear_a_request,
+    ),
+    'polls at every server are blamed for two crashing requests': (
+        _set(
+            crash_attribution,
+            '_prefer_unanswered',
+            lambda blamed, *_: blamed,
+        ),
+        attributions.test_poll_at_the_crashes_of_two_requests_is_not_blamed,
+    ),
     'nodes do not share the limit of a server': (
         _set(limit_share, 'limit_share', _always(1.0)),
         lambda: limits.test_nodes_without_a_dispatcher_keep_the_limit(
