--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/backend_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/backend_server.py
@@ -25,6 +25,8 @@
         Whether the platform may terminate it at short notice.
     started_ms : int
         Unix time of its start in milliseconds; 0 if not listed.
+    version : str
+        Version of its software; empty if the entry names none.
     """
 
     id: str
@@ -36,6 +38,7 @@
     is_draining: bool
     is_reclaimable: bool
     started_ms: int
+    version: str = ''
 
     @property
     def instance_key(self) -> tuple[str, int]:
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -218,6 +218,7 @@
                     'service': decoded.service,
                     'zone': decoded.zone,
                     'draining': decoded.is_draining,
+                    'version': decoded.version or 'unknown',
                     'offset': record.offset,
                 },
             )
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -324,9 +324,12 @@
             'version_age_s': round(self._state.age_s(), 3),
             'why': result.why,
         }
+        if job.request.last_event_id is not None:
+            fields['resumes_after'] = job.request.last_event_id
         if isinstance(result, placement_result.Placed):
             fields |= {
                 'server': result.view.server.id,
+                'server_version': result.view.server.version or 'unknown',
                 'expected_s': round(result.expected_s, 4),
                 'running': result.view.running,
                 'pending_tokens': result.view.pending_tokens,
