Let streams go on only at the software version that began them

Cause: nodes read neither the version of an engine nor Resumes, and chose the engine for a resumed stream like for a new one.

A version that is unknown, uncertain or not served is refused at once as not run.

Entries of the tests' servers name a version now, as those of the platform do.

--- a/packages/core/src/foxtailrelay_core/internal/error_answer.py
+++ b/packages/core/src/foxtailrelay_core/internal/error_answer.py
@@ -73,6 +73,12 @@
     _Kind.REQUEST_QUARANTINED: ErrorAnswer(
         503, 'Request crashes backend servers', _NOT_RUN, 60
     ),
+    _Kind.STREAM_VERSION_GONE: ErrorAnswer(
+        503, 'No backend server of the version that began the stream', _NOT_RUN
+    ),
+    _Kind.STREAM_ORIGIN_UNKNOWN: ErrorAnswer(
+        503, 'Version that began the stream is not known', _NOT_RUN
+    ),
     _Kind.NOT_RUN: ErrorAnswer(503, 'Request was not run', _NOT_RUN, 2),
     _Kind.BACKEND_FAILED: ErrorAnswer(
         502, 'Backend server failed', _UNKNOWN, 2
--- a/packages/core/src/foxtailrelay_core/internal/error_kind.py
+++ b/packages/core/src/foxtailrelay_core/internal/error_kind.py
@@ -27,6 +27,8 @@
     NO_BACKEND = 'no-backend'
     PROMPT_QUARANTINED = 'prompt-quarantined'
     REQUEST_QUARANTINED = 'request-quarantined'
+    STREAM_VERSION_GONE = 'stream-version-gone'
+    STREAM_ORIGIN_UNKNOWN = 'stream-origin-unknown'
     NOT_RUN = 'not-run'
     BACKEND_FAILED = 'backend-failed'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
--- a/packages/core/src/foxtailrelay_core/internal/message_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -9,6 +9,7 @@
 
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import stream_messages
 from foxtailrelay_core import store_position
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
@@ -26,6 +27,9 @@
     'placeCall': place_messages.PlaceCall,
     'placeAnswer': place_messages.PlaceAnswer,
     'placeNote': place_messages.PlaceNote,
+    'streamOrigin': stream_messages.StreamOrigin,
+    'streamQuery': stream_messages.StreamQuery,
+    'streamFound': stream_messages.StreamFound,
 }
 _LIST_FIELDS = frozenset(
     ('have_starts', 'have_sequences', 'part_ids', 'part_tokens', 'excluded')
@@ -41,6 +45,7 @@
     (message_types.Exchange, 'wants'): message_types.TopicWant,
     (message_types.Exchange, 'topics'): message_types.TopicRecords,
     (message_types.TopicRecords, 'records'): message_types.TopicRecord,
+    (stream_messages.StreamFound, 'origins'): stream_messages.StreamOrigin,
 }
 # Positions are sent as an offset and an era.
 _POSITION_FIELDS: frozenset[tuple[typing.Any, str]] = frozenset(
--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import stream_messages
 
 PROTOCOL_VERSION = 1
 
@@ -475,4 +476,7 @@
     | place_messages.PlaceCall
     | place_messages.PlaceAnswer
     | place_messages.PlaceNote
+    | stream_messages.StreamFound
+    | stream_messages.StreamOrigin
+    | stream_messages.StreamQuery
 )
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -19,6 +19,10 @@
     placeAnswer @12 :PlaceAnswer;
     # Not answered.
     placeNote @13 :PlaceNote;
+    # Not answered.
+    streamOrigin @14 :StreamOrigin;
+    streamQuery @15 :StreamQuery;
+    streamFound @16 :StreamFound;
   }
 }
 
@@ -240,3 +244,25 @@
   firstUs @2 :UInt32;
   isCrash @3 :Bool;
 }
+
+struct StreamOrigin {
+  requestId @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  server @3 :Text;
+  startedMs @4 :UInt64;
+  fingerprint @5 :Text;
+  isCertain @6 :Bool;
+  keepMs @7 :UInt32;
+}
+
+struct StreamQuery {
+  requestId @0 :Text;
+  service @1 :Text;
+  fingerprint @2 :Text;
+}
+
+struct StreamFound {
+  # At most one origin.
+  origins @0 :List(StreamOrigin);
+}
--- /dev/null
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -0,0 +1,62 @@
+"""Messages about the software versions that began streams."""
+
+import typing
+
+
+class StreamOrigin(typing.NamedTuple):
+    """Where a stream began, for callers that take it up at another node.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the caller's attempt that received the first event.
+    service : str
+        The service of the engine.
+    version : str
+        Version of the engine's software; empty if its entry names none.
+    server, started_ms : str, int
+        Id and start of the engine.
+    fingerprint : str
+        Fingerprint of the request.
+    is_certain : bool
+        Whether the sender's list of servers was current.
+    keep_ms : int
+        Milliseconds for which the origin may be needed.
+    """
+
+    request_id: str
+    service: str
+    version: str
+    server: str
+    started_ms: int
+    fingerprint: str
+    is_certain: bool
+    keep_ms: int
+
+
+class StreamQuery(typing.NamedTuple):
+    """Requests the origin of a stream.
+
+    Parameters
+    ----------
+    request_id, service : str
+        Id under which the stream began, and its service.
+    fingerprint : str
+        Fingerprint of the request; a stream of another one is not found.
+    """
+
+    request_id: str
+    service: str
+    fingerprint: str
+
+
+class StreamFound(typing.NamedTuple):
+    """Answers a :class:`StreamQuery`.
+
+    Parameters
+    ----------
+    origins : tuple of StreamOrigin
+        The origin; empty if it is not known.
+    """
+
+    origins: tuple[StreamOrigin, ...]
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -11,6 +11,7 @@
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
 from foxtailrelay_core.internal import report_codec
+from foxtailrelay_core.internal import stream_messages
 from foxtailrelay_core.internal import traffic_count
 
 PROTOCOL_VERSION = message_types.PROTOCOL_VERSION
@@ -44,6 +45,9 @@
 ServerLimit = message_types.ServerLimit
 ServerLoad = message_types.ServerLoad
 Spend = message_types.Spend
+StreamFound = stream_messages.StreamFound
+StreamOrigin = stream_messages.StreamOrigin
+StreamQuery = stream_messages.StreamQuery
 TopicMark = message_types.TopicMark
 TopicRecord = message_types.TopicRecord
 TopicRecords = message_types.TopicRecords
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -82,6 +82,7 @@
             clock,
             _SERVER_CONFIRMATION_RATIO * settings.server_drain_s,
         )
+        self.servers.follower = self.server_follower
         self.quarantine = crash_quarantine.CrashQuarantine(clock)
         self.loads = load_tracker.LoadTracker(clock)
         self.quota = quotas.Quota(
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -15,6 +15,7 @@
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import node_registry
+from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import relay_ports
@@ -57,6 +58,8 @@
         Answers other nodes.
     dispatcher : Dispatcher
         Places requests for services that this node dispatches.
+    origins : StreamOrigins
+        Software versions that began streams.
     placer : RequestPlacer
         Chooses a backend server for each attempt.
     """
@@ -117,8 +120,18 @@
             view.servers, view.state, view.quarantine, clock
         )
         self._dispatch_client = dispatch_client.DispatchClient(dialer)
+        # Peers of older releases close connections with messages that they
+        # do not know, so placement has connections of its own.
+        self._stream_client = dispatch_client.DispatchClient(dialer)
+        self.origins = stream_origins.StreamOrigins(
+            self.gossip.peers, self._stream_client, clock
+        )
         self.server = exchange_server.ExchangeServer(
-            self.gossip, _PEER_IDLE_TIMEOUT_S, clock, self.dispatcher
+            self.gossip,
+            _PEER_IDLE_TIMEOUT_S,
+            clock,
+            self.dispatcher,
+            self.origins,
         )
         self.placer = request_placer.RequestPlacer(
             dispatcher_selector.DispatcherSelector(
@@ -140,6 +153,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._exchange_client.run)
             nursery.start_soon(self._dispatch_client.run)
+            nursery.start_soon(self._stream_client.run)
             nursery.start_soon(self._registry.run)
 
     def rank_followers(self, node_ids: list[str]) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -15,6 +15,7 @@
 from foxtailrelay_node.internal.relay.duties import usage_counter
 from foxtailrelay_node.internal.relay.http import backend_pool
 from foxtailrelay_node.internal.relay import node_state
+from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import placement_result
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -43,6 +44,8 @@
         Connections to them.
     end_checker : ServerEndChecker
         Tells ended servers from lost connections.
+    origins : StreamOrigins
+        Software versions that began streams.
     budget : ClusterRetryBudget
         Limits retries.
     usage : UsageCounter
@@ -67,6 +70,7 @@
     placer: request_placer.RequestPlacer
     pool: backend_pool.BackendPool
     end_checker: server_end_checker.ServerEndChecker
+    origins: stream_origins.StreamOrigins
     budget: cluster_retry_budget.ClusterRetryBudget
     usage: usage_counter.UsageCounter
     wire: wire_format.WireFormat
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.policy import placement_result
@@ -43,6 +44,7 @@
     def __init__(self, context: attempt_context.AttemptContext) -> None:
         self._context = context
         self._evidence = crash_evidence.CrashEvidence(context)
+        self._streams = stream_versions.StreamVersions(context)
 
     async def run(
         self,
@@ -68,10 +70,14 @@
         connection: caller_connection.CallerConnection,
     ) -> errors.Failure | None:
         unreachable: set[str] = set()
+        await self._streams.find_origin(job, progress)
         while True:
+            excluded = self._streams.exclude_servers(job, progress)
+            if isinstance(excluded, errors.Failure):
+                return _refuse_resume(excluded, progress)
             placed = await self._context.placer.place(
                 job,
-                progress.tried_ids | unreachable,
+                progress.tried_ids | unreachable | excluded,
                 self._context.urgency(job),
                 is_retry=progress.sent_count > 0,
             )
@@ -247,7 +253,13 @@
             ),
         )
         exchange = http_exchange.HttpExchange(
-            self._context, job, placed, backend, progress, connection
+            self._context,
+            self._streams,
+            job,
+            placed,
+            backend,
+            progress,
+            connection,
         )
         progress.tried_ids.add(server.id)
         progress.sent_count += 1
@@ -385,6 +397,14 @@
         return None
 
 
+def _refuse_resume(
+    failure: errors.Failure, progress: progresses.Progress
+) -> errors.Failure:
+    if progress.may_have_run:
+        return errors.Failure(errors.ErrorKind.BACKEND_FAILED, failure.detail)
+    return failure
+
+
 def _quarantine_failure(
     suspect_id: str,
     why: str,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import event_splitter
@@ -25,6 +26,8 @@
     ----------
     context : AttemptContext
         The components of the node.
+    streams : StreamVersions
+        Records where the stream begins.
     job : Job
         The request.
     placed : Placed
@@ -47,6 +50,7 @@
     def __init__(
         self,
         context: attempt_context.AttemptContext,
+        streams: stream_versions.StreamVersions,
         job: jobs.Job,
         placed: placement_result.Placed,
         backend: backend_connection.BackendConnection,
@@ -56,6 +60,7 @@
         self.is_complete = False
         self.has_answered = False
         self._context = context
+        self._streams = streams
         self._job = job
         self._placed = placed
         self._backend = backend
@@ -209,6 +214,9 @@
             self._context.record_usage(self._job, self._progress)
             in_order = self._events_in_order(events)
             if in_order:
+                self._streams.record_event(
+                    self._job, self._progress, self._placed.view.server
+                )
                 await self._start_answer(head)
                 await self._connection.send_part(
                     b''.join(event.data for event in in_order)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from foxtailrelay_core import messages
+
 
 @dataclasses.dataclass
 class Progress:
@@ -22,6 +24,10 @@
     first_part_s, max_gap_s : float or None
         Seconds from the request to the first part of its answer, and the
         longest time between two parts.
+    origin : StreamOrigin or None
+        Where the stream began, if known.
+    is_origin_recorded : bool
+        Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
         When the current attempt was sent, in seconds since boot.
     attempt_first_event_at_s : float or None
@@ -36,6 +42,8 @@
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     first_part_s: float | None = None
     max_gap_s: float | None = None
+    origin: messages.StreamOrigin | None = None
+    is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
     _last_part_at_s: float = 0.0
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -0,0 +1,128 @@
+"""Keeps each stream at the software version that began it."""
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import messages
+import logbook
+
+from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import job as jobs
+from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.policy import stream_version
+
+_LOG = logbook.Logger('foxtailrelay.requests')
+# A caller may come back for this time after its deadline.
+_KEEP_AFTER_DEADLINE_S = 30.0
+_MAX_KEEP_S = 600.0
+# Another node may know the version.
+_OTHER_NODE_RETRY_AFTER_S = 0.3
+
+
+class StreamVersions:
+    """Records where streams begin and chooses who may go on with them.
+
+    Parameters
+    ----------
+    context : AttemptContext
+        The components of the node.
+    """
+
+    def __init__(self, context: attempt_context.AttemptContext) -> None:
+        self._context = context
+
+    async def find_origin(
+        self, job: jobs.Job, progress: progresses.Progress
+    ) -> None:
+        """Find where a stream began that the caller takes up."""
+        request = job.request
+        if not _is_resumed(job, progress) or not request.resumes:
+            return
+        query = messages.StreamQuery(
+            request.resumes, job.service, job.fingerprint
+        )
+        progress.origin = await self._context.origins.find(query)
+
+    def record_event(
+        self,
+        job: jobs.Job,
+        progress: progresses.Progress,
+        server: backend_server.BackendServer,
+    ) -> None:
+        """Record the first event of a stream, before it is forwarded."""
+        if progress.is_origin_recorded or not job.access.route.is_resumable:
+            return
+        progress.is_origin_recorded = True
+        if progress.origin is None:
+            keep_s = job.deadline_s - self._context.now_s()
+            keep_s = min(_MAX_KEEP_S, keep_s + _KEEP_AFTER_DEADLINE_S)
+            progress.origin = messages.StreamOrigin(
+                job.request.resumes or job.request.request_id
+                if _is_resumed(job, progress)
+                else job.request.request_id,
+                job.service,
+                server.version,
+                *server.instance_key,
+                job.fingerprint,
+                self._context.servers.is_current(),
+                int(max(0.0, keep_s) * 1000),
+            )
+        self._context.origins.record(progress.origin)
+
+    def exclude_servers(
+        self, job: jobs.Job, progress: progresses.Progress
+    ) -> set[str] | errors.Failure:
+        """Return the servers that must not go on with a stream."""
+        if not _is_resumed(job, progress):
+            return set()
+        servers = self._context.servers
+        requirement = stream_version.resolve(
+            progress.origin,
+            servers.sole_version(job.service),
+            servers.is_current(),
+        )
+        usable = servers.usable(job.service)
+        if isinstance(requirement, stream_version.Unresolved):
+            failure = self._refuse_unresolved(requirement)
+        elif not any(requirement.allows(server) for server in usable):
+            failure = errors.Failure(
+                errors.ErrorKind.STREAM_VERSION_GONE,
+                f'no backend server of {requirement.name} serves; send the '
+                'request without the last event id to begin anew',
+            )
+        else:
+            return {s.id for s in usable if not requirement.allows(s)}
+        _LOG.info(
+            'resume-refused',
+            extra={
+                'request': job.request.request_id,
+                'resumes': job.request.resumes,
+                'kind': failure.kind.value,
+                'detail': failure.detail,
+                'versions': sorted({s.version or 'unknown' for s in usable}),
+            },
+        )
+        return failure
+
+    @staticmethod
+    def _refuse_unresolved(
+        unresolved: stream_version.Unresolved,
+    ) -> errors.Failure:
+        if unresolved.may_ask_elsewhere:
+            return errors.Failure(
+                errors.ErrorKind.NOT_RUN,
+                unresolved.why,
+                retry_after_s=_OTHER_NODE_RETRY_AFTER_S,
+            )
+        return errors.Failure(
+            errors.ErrorKind.STREAM_ORIGIN_UNKNOWN,
+            f'{unresolved.why}; send the request without the last event id '
+            'to begin anew',
+        )
+
+
+def _is_resumed(job: jobs.Job, progress: progresses.Progress) -> bool:
+    """Whether the caller has events of this stream."""
+    return job.access.route.is_stream and (
+        progress.last_event_id is not None
+        or job.request.last_event_id is not None
+    )
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -10,6 +10,7 @@
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay.backends import server_limits
+from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_follower
@@ -20,6 +21,8 @@
 # this time after a store outage.
 LAPSED_RETENTION_S = 2.0
 _MAX_DRAINING_KEYS = 1000
+# Less than a server needs to start again.
+_MAX_AGE_S = 3.0
 
 
 class ServerDecoder(abc.ABC):
@@ -54,6 +57,8 @@
 
     Attributes
     ----------
+    follower : TopicFollower or None
+        Updates the list; its age is that of the list.
     departures : DepartureNotices
         Servers that are leaving though their entry may not say so.
     quiet_periods : QuietPeriods
@@ -76,6 +81,8 @@
         self.limits = server_limits.ServerLimits(clock)
         self._server_by_id: dict[str, backend_server.BackendServer] = {}
         self._lapsed_at_s_by_id: dict[str, float] = {}
+        self.follower: topic_follower.TopicFollower | None = None
+        self._versions = version_history.VersionHistory()
         self._draining_keys: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
@@ -164,6 +171,29 @@
             and self.quiet_periods.remaining_s(listed) == 0
         )
 
+    def is_current(self) -> bool:
+        """Whether an instance that has started again would be listed."""
+        if self.follower is None:
+            return True
+        return self.follower.view.age_s(self._clock.boot_s()) <= _MAX_AGE_S
+
+    def sole_version(self, service: str) -> str:
+        """Return the only version listed for longer than streams last.
+
+        Returns
+        -------
+        str
+            Empty if there were several, one is not known, or the list has
+            not been followed for so long.
+        """
+        now_s = self._clock.boot_s()
+        listed = {
+            server.version
+            for server in self._server_by_id.values()
+            if server.service == service
+        }
+        return self._versions.find_sole(service, listed, now_s)
+
     def is_listed(self, server: backend_server.BackendServer) -> bool:
         """Whether this instance is in the list."""
         listed = self._server_by_id.get(server.id)
@@ -209,6 +239,10 @@
             if len(self._draining_keys) > _MAX_DRAINING_KEYS:
                 self._draining_keys.popitem(last=False)
         known = self._server_by_id.get(record.key)
+        now_s = self._clock.boot_s()
+        for server in (known, decoded):
+            if server is not None:
+                self._versions.record(server.service, server.version, now_s)
         self._server_by_id[record.key] = decoded
         if known != decoded:
             _LOG.info(
@@ -228,6 +262,7 @@
         if known is None:
             return
         now_s = self._clock.boot_s()
+        self._versions.record(known.service, known.version, now_s)
         outage_age_s = now_s - self._health.last_outage_s
         if not known.is_draining and (
             self._health.is_failing or outage_age_s < LAPSED_RETENTION_S
@@ -255,7 +290,11 @@
         for server_id, lapsed_at_s in list(self._lapsed_at_s_by_id.items()):
             if now_s - max(outage_end_s, lapsed_at_s) >= LAPSED_RETENTION_S:
                 del self._lapsed_at_s_by_id[server_id]
-                self._server_by_id.pop(server_id, None)
+                server = self._server_by_id.pop(server_id, None)
+                if server is not None:
+                    self._versions.record(
+                        server.service, server.version, now_s
+                    )
                 _LOG.info(
                     'server-removed',
                     extra={'server': server_id, 'reason': 'lapsed'},
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/version_history.py
@@ -0,0 +1,54 @@
+"""Software versions that were listed lately."""
+
+import math
+
+# Longer than a stream lasts, and than its caller takes to come back.
+_FOLLOWED_S = 60.0
+
+
+class VersionHistory:
+    """When each version of a service was last listed.
+
+    Examples
+    --------
+    >>> history = VersionHistory()
+    >>> history.record('model', 'v1', 10.0)
+    >>> history.find_sole('model', {'v1'}, 80.0)
+    'v1'
+    """
+
+    def __init__(self) -> None:
+        self._first_at_s = math.inf
+        self._last_at_s_by_version: dict[tuple[str, str], float] = {}
+
+    def record(self, service: str, version: str, now_s: float) -> None:
+        """Record that a version is or was listed until now."""
+        self._first_at_s = min(self._first_at_s, now_s)
+        self._last_at_s_by_version[service, version] = now_s
+        for key, last_at_s in list(self._last_at_s_by_version.items()):
+            if last_at_s < now_s - _FOLLOWED_S:
+                del self._last_at_s_by_version[key]
+
+    def find_sole(self, service: str, listed: set[str], now_s: float) -> str:
+        """Return the only version of the last minute; empty if unknown.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        listed : set of str
+            Versions that are listed now.
+        now_s : float
+            Seconds since boot.
+        """
+        oldest_s = now_s - _FOLLOWED_S
+        if self._first_at_s > oldest_s:
+            return ''
+        versions = listed | {
+            version
+            for (name, version), last_at_s in (
+                self._last_at_s_by_version.items()
+            )
+            if name == service and last_at_s >= oldest_s
+        }
+        return versions.pop() if len(versions) == 1 else ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/caller_request.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/caller_request.py
@@ -32,6 +32,9 @@
         or its session.
     last_event_id : int or None
         The event after which the caller resumes a stream.
+    resumes : str
+        Id of the caller's attempt that received the first event of the
+        stream; empty if it names none.
     """
 
     request_id: str
@@ -45,6 +48,7 @@
     answer_tokens: int | None
     prompt_parts: tuple[PromptPart, ...]
     last_event_id: int | None
+    resumes: str = ''
 
     @property
     def path(self) -> str:
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
@@ -1,4 +1,4 @@
-"""Connections to the dispatchers."""
+"""Connections to other nodes for calls and notes, such as dispatchers."""
 
 from foxtailrelay_core import messages
 import logbook
@@ -10,8 +10,7 @@
 
 _LOG = logbook.Logger('foxtailrelay.dispatch')
 _CONNECT_TIMEOUT_S = 0.3
-# Further notes to a slow dispatcher are dropped; their reservations expire
-# there.
+# Further notes to a slow node are dropped.
 _MAX_QUEUED_NOTES = 256
 
 
@@ -27,9 +26,9 @@
 
 
 class DispatchClient:
-    """Sends placement requests and notes to dispatchers.
+    """Sends requests and notes to other nodes.
 
-    Each dispatcher has one connection.
+    Each node has one connection.
 
     Parameters
     ----------
@@ -59,6 +58,18 @@
         timeout_s: float,
     ) -> messages.PlaceAnswer | str:
         """Return the answer of a dispatcher, or why there is none."""
+        answer = await self.request(address, call, timeout_s)
+        if isinstance(answer, (messages.PlaceAnswer, str)):
+            return answer
+        return f'unexpected answer of type {type(answer).__name__}'
+
+    async def request(
+        self,
+        address: address_book.PeerAddress,
+        message: messages.Message,
+        timeout_s: float,
+    ) -> messages.Message | str:
+        """Return the answer of a peer, or why there is none."""
         link = self._link(address)
         if link is None:
             return 'the node is starting or stopping'
@@ -67,19 +78,31 @@
             if link.peer is None:
                 return 'the connection could not be opened'
             try:
-                answer = await link.peer.request(call, timeout_s)
+                return await link.peer.request(message, timeout_s)
             except peer_link.LinkClosed as error:
                 return str(error)
-            if isinstance(answer, messages.PlaceAnswer):
-                return answer
-            return f'unexpected answer of type {type(answer).__name__}'
         return 'timeout'
 
     def send_note(
-        self, address: address_book.PeerAddress, note: messages.PlaceNote
+        self,
+        address: address_book.PeerAddress,
+        note: messages.PlaceNote | messages.StreamOrigin,
+        may_connect: bool = False,
     ) -> None:
-        """Queue a note; without a connection the reservation expires."""
+        """Queue a note; it is lost if the connection fails.
+
+        Parameters
+        ----------
+        address : PeerAddress
+            The peer.
+        note : PlaceNote or StreamOrigin
+            A message without an answer.
+        may_connect : bool
+            Whether a connection is opened if there is none.
+        """
         link = self._link_by_address.get(address)
+        if link is None and may_connect:
+            link = self._link(address)
         if link is None:
             return
         try:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -8,6 +8,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import peer_versions
+from foxtailrelay_node.internal.relay.peers import stream_origins
 
 _LOG = logbook.Logger('foxtailrelay.peers')
 
@@ -25,6 +26,8 @@
         Clock for the age of received exchanges.
     dispatcher : Dispatcher
         Handles placement calls and notes.
+    origins : StreamOrigins
+        Keeps where streams of other nodes began.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         idle_timeout_s: float,
         clock: clocks.Clock,
         dispatcher: dispatchers.Dispatcher,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self.traffic = messages.TrafficCount()
         self._gossip = gossip
         self._dispatcher = dispatcher
+        self._origins = origins
         self._idle_timeout_s = idle_timeout_s
         self._clock = clock
 
@@ -67,6 +72,11 @@
                     case messages.PlaceNote():
                         self._dispatcher.handle_note(message)
                         continue
+                    case messages.StreamOrigin():
+                        self._origins.store(message)
+                        continue
+                    case messages.StreamQuery():
+                        answer = self._origins.handle_query(message)
                     case _:
                         reason = f'{type(message).__name__} is no request'
                         answer = messages.Refusal(reason)
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -107,6 +107,7 @@
             placer=self._peers.placer,
             pool=self._pool,
             end_checker=self._end_checker,
+            origins=self._peers.origins,
             budget=view.budget,
             usage=view.usage,
             wire=ports.wire,
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -21,6 +21,7 @@
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.peers import peer_table
+from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -89,6 +90,7 @@
         'service': listed_service,
         'address': f'10.0.0.{index}:80',
         'zone': 'a',
+        'version': 'v1',
         'slots': 8,
         'state': 'ready',
         'born': 1,
@@ -171,6 +173,9 @@
         )
         links = dispatch_client.DispatchClient(self.dialer)
         nursery.start_soon(links.run)
+        self.origins = stream_origins.StreamOrigins(
+            self.table, links, self.clock
+        )
         self.end_checker = server_end_checker.ServerEndChecker(
             _EndCheckDialer(self.dialer), self.servers, self.clock
         )
@@ -207,6 +212,7 @@
                         self.dialer, self.clock.boot_s
                     ),
                     end_checker=self.end_checker,
+                    origins=self.origins,
                     budget=self.budget,
                     usage=self.usage,
                     wire=wire,
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -94,6 +94,14 @@
     limits = None
 
 
+class _NoOrigins:
+    def store(self, origin):
+        pass
+
+    def handle_query(self, query):
+        return messages.StreamFound(())
+
+
 class _Server:
     """A node's side of gossip connections."""
 
@@ -107,7 +115,7 @@
             clock,
         )
         self.server = exchange_server.ExchangeServer(
-            self.node.gossip, 4.0, clock, rig_dispatcher
+            self.node.gossip, 4.0, clock, rig_dispatcher, _NoOrigins()
         )
 
     async def send(self, data):
