--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,6 +30,8 @@
         The node that it was sent to.
     crashing_part : bytes
         The part of its prompt that crashes engines, if it has one.
+    crashing_request : tuple of bytes
+        Target, organisation and body, if the request crashes servers.
     status : int or None
         Status of the answer; None if none was received.
     is_complete : bool
@@ -44,6 +46,7 @@
     sent_at_s: float
     host: str = ''
     crashing_part: bytes = b''
+    crashing_request: tuple[bytes, bytes, bytes] | None = None
     status: int | None = None
     is_complete: bool = False
     body: bytes = b''
@@ -112,20 +115,29 @@
             host,
         )
         self.records.append(record)
+        target, body = f'/{path}/x', b''
+        crashing_requests = sorted(self._cluster.crashing_requests)
+        if path in ('stream', 'resume'):
+            # Every prompt has a body of its own.
+            body = record.request_id.encode()
+        elif crashing_requests and self._rng.random() < _CRASHING_SHARE:
+            record.crashing_request = self._rng.choice(crashing_requests)
+            record.path, record.key = 'any', 'k1'
+            target = record.crashing_request[0].decode()
         headers = [
             ('Host', 'h'),
             ('Request-Id', record.request_id),
             ('Authorization', f'Token {record.key}'),
             ('Deadline-Ms', '4000'),
-            ('Content-Length', '0'),
+            ('Content-Length', str(len(body))),
         ]
         if path in ('stream', 'resume'):
             headers.append(('Token-Counts', '50,20'))
             headers.append(('Prompt-Prefix', self._choose_prompt(record)))
-        request = h11.Request(
-            method='POST', target=f'/{path}/x', headers=headers
-        )
-        data = connection.send(request) + connection.send(h11.EndOfMessage())
+        request = h11.Request(method='POST', target=target, headers=headers)
+        data = connection.send(request)
+        data += connection.send(h11.Data(data=body))
+        data += connection.send(h11.EndOfMessage())
         await stream.send_all(data)
         while True:
             event = connection.next_event()
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -53,7 +53,7 @@
             self._compact, self._step_clock, self._restore_store,
             self._leaving_engine, self._quiet_engine,
             self._crashing_prompts, self._limited_engine,
-            self._odd_answers,
+            self._odd_answers, self._crashing_request,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -220,6 +220,16 @@
         await trio.sleep(seconds)
         self._cluster.crashing_parts.discard(part)
 
+    async def _crashing_request(self, nursery) -> None:
+        """Let servers crash on one request, which callers repeat."""
+        target = f'/any/bad{self._rng.getrandbits(32):x}'
+        identity = (target.encode(), b'org', b'')
+        seconds = self._rng.uniform(2.0, 8.0)
+        self._record(f'{target} crashes servers: {seconds:.1f} s')
+        self._cluster.crashing_requests.add(identity)
+        await trio.sleep(seconds)
+        self._cluster.crashing_requests.discard(identity)
+
     async def _limited_engine(self, nursery) -> None:
         """Let a server name a limit for all nodes, change and end it."""
         server_id = self._rng.choice(sorted(self._cluster.engine_by_id))
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,7 @@
 _CONTACT_S = 3.0
 _MAX_LATE_CRASHES = 3
 _MIN_SOUND = 20
+_MAX_REFUSED_SHARE = 0.01
 _LIMIT_WINDOW_S = 4.0
 _LIMIT_EXTRA = 5
 # What a node collects of one answer, and the buffers of two connections.
@@ -37,6 +38,7 @@
     )
     violations += _check_duties(cluster)
     violations += _check_crashing_parts(cluster, records)
+    violations += _check_crashing_requests(cluster, records)
     violations += _check_limits(cluster, records)
     violations += _check_endless_answers(cluster)
     return violations
@@ -91,7 +93,8 @@
     crashes_by_part = collections.defaultdict(list)
     for server in cluster.engine_by_id.values():
         for part, request_id, at_s in server.crashes:
-            crashes_by_part[part].append((at_s, request_id))
+            if isinstance(part, bytes):
+                crashes_by_part[part].append((at_s, request_id))
     violations = []
     for part, crashes in crashes_by_part.items():
         bound_s = [*sorted(crashes), (math.inf, '')][:5][-1][0] + _CONTACT_S
@@ -99,7 +102,7 @@
             request_id
             for at_s, request_id in crashes
             if at_s > bound_s
-            and _is_in_touch(cluster, record_by_id[request_id], at_s)
+            and cluster.is_in_touch(record_by_id[request_id].host, at_s)
         ]
         if len(late_ids) > _MAX_LATE_CRASHES:
             violations.append(
@@ -110,17 +113,43 @@
     return violations
 
 
-def _is_in_touch(
+def _check_crashing_requests(
     cluster: soak_clusters.SoakCluster,
-    record: callers.RequestRecord,
-    at_s: float,
-) -> bool:
-    return not any(
-        disruption.host == record.host
-        and disruption.from_s <= at_s
-        and disruption.until_s >= at_s - _CONTACT_S
-        for disruption in cluster.disruptions
-    )
+    records: typing.Sequence[callers.RequestRecord],
+) -> list[str]:
+    """Check that requests that crash servers are kept away from them."""
+    record_by_id = {record.request_id: record for record in records}
+    crashes_by_request = collections.defaultdict(list)
+    for server in cluster.engine_by_id.values():
+        for cause, request_id, at_s in server.crashes:
+            if isinstance(cause, tuple):
+                crashes_by_request[cause].append((at_s, request_id))
+    violations = []
+    for (target, _, _), crashes in crashes_by_request.items():
+        bound_s = [*sorted(crashes), (math.inf, '')][:3][-1][0] + _CONTACT_S
+        late_ids = [
+            request_id
+            for at_s, request_id in crashes
+            if at_s > bound_s
+            and cluster.is_in_touch(record_by_id[request_id].host, at_s)
+        ]
+        if len(late_ids) > _MAX_LATE_CRASHES:
+            violations.append(
+                f'request {target.decode()} reached servers {len(late_ids)} '
+                f'times too late: {late_ids}'
+            )
+    refused = [
+        record.request_id
+        for record in records
+        if b'request-quarantined' in record.body
+        and record.crashing_request is None
+    ]
+    sound = sum(record.crashing_request is None for record in records)
+    if len(refused) > _MAX_REFUSED_SHARE * sound:
+        violations.append(
+            f'{len(refused)} of {sound} sound requests were quarantined'
+        )
+    return violations
 
 
 def _check_sound_requests(
@@ -168,7 +197,7 @@
                     cluster.engine_by_id[server_id].arrivals
                 )
                 if change.at_s + _CONTACT_S <= at_s < until_s
-                and _is_in_touch(cluster, record_by_id[request_id], at_s)
+                and cluster.is_in_touch(record_by_id[request_id].host, at_s)
             ]
             most = max(
                 (
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -30,6 +30,7 @@
 _NETWORK_COUNT = 200
 # Bounds in the nodes' settings.
 DRAIN_MS = 2000
+_CONTACT_S = 3.0
 REVOKE_MS = 5000
 
 
@@ -72,6 +73,7 @@
         self.proxy_by_engine: dict[str, fault_proxy.FaultProxy] = {}
         self.process_by_host: dict[str, subprocess.Popen] = {}
         self.crashing_parts: set[bytes] = set()
+        self.crashing_requests: set[tuple[bytes, bytes, bytes]] = set()
         self.limit_changes_by_id: dict[str, list[LimitChange]] = {}
         self.disruptions: list[Disruption] = []
         self.version = 7
@@ -128,6 +130,7 @@
         stand_in = engine.EngineStandIn(server_id, 0.02, 12, 0.03)
         self.engine_by_id[server_id] = stand_in
         stand_in.crashing_parts = self.crashing_parts
+        stand_in.crashing_requests = self.crashing_requests
         address, scope = await serving.serve(
             nursery, stand_in, self.local_host
         )
@@ -149,6 +152,8 @@
         scope: trio.CancelScope,
     ) -> None:
         """End a backend server's process; another one follows later."""
+        if scope.cancel_called:
+            return
         scope.cancel()
         self.proxy_by_engine[server_id].end()
         nursery.start_soon(self._replace_crashed, nursery, server_id)
@@ -161,7 +166,8 @@
             self.store.put('keyed.servers', server_id, b'')
         self._crash_count += 1
         name = f'{server_id[0]}x{self._crash_count}'
-        await self.add_engine(nursery, 'model', name)
+        service = 'plain' if server_id[0] == 'p' else 'model'
+        await self.add_engine(nursery, service, name)
 
     def set_limit(self, server_id: str, per_s: float | None) -> None:
         """Let a backend server name a limit, or none."""
@@ -175,6 +181,15 @@
         now_s = time.monotonic()
         self.disruptions.append(Disruption(host, now_s, now_s + seconds))
 
+    def is_in_touch(self, host: str, at_s: float) -> bool:
+        """Whether a node has done its work for a while at a time."""
+        return not any(
+            disruption.host == host
+            and disruption.from_s <= at_s
+            and disruption.until_s >= at_s - _CONTACT_S
+            for disruption in self.disruptions
+        )
+
     def _store_entry(self, server_id: str) -> None:
         entry = self._entry_by_id[server_id]
         entry['sequence'] += 1
