Prove that streams keep to their version: model, mutants, soak kind

Without a network: the decision on plain values, the request path of a node, and 2 to 195 nodes that share origins while the relaying node and another one fail; notes and queries are bounded at 195 nodes. The soak rolls three versions forward and back, its callers take broken streams up, and no more than two streams may hold events of two versions; half of what new streams get must go on where two engines of the version serve.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -32,6 +32,11 @@
         The part of its prompt that crashes engines, if it has one.
     crashing_request : tuple of bytes
         Target, organisation and body, if the request crashes servers.
+    resumed : RequestRecord or None
+        The attempt that received the first event of the stream, if the
+        caller takes a stream up.
+    event_count : int
+        Number of events received by earlier attempts.
     status : int or None
         Status of the answer; None if none was received.
     is_complete : bool
@@ -47,6 +52,8 @@
     host: str = ''
     crashing_part: bytes = b''
     crashing_request: tuple[bytes, bytes, bytes] | None = None
+    resumed: 'RequestRecord | None' = None
+    event_count: int = 0
     status: int | None = None
     is_complete: bool = False
     body: bytes = b''
@@ -69,6 +76,7 @@
         self, cluster: soak_clusters.SoakCluster, rng: random.Random, name: str
     ) -> None:
         self.records: list[RequestRecord] = []
+        self._broken: RequestRecord | None = None
         self._cluster = cluster
         self._rng = rng
         self._request_ids = (
@@ -106,20 +114,23 @@
                 await trio.sleep(self._rng.uniform(0.0, 0.2))
 
     async def _call(self, connection, stream, host: str) -> None:
-        path = self._rng.choice(['once', 'once', 'any', 'stream', 'resume'])
-        record = RequestRecord(
-            next(self._request_ids),
-            path,
-            self._rng.choice(['k1', 'k2']),
-            time.monotonic(),
-            host,
-        )
+        record = self._broken and self._build_resume(self._broken, host)
+        if record is None:
+            record = RequestRecord(
+                next(self._request_ids),
+                self._rng.choice(['once', 'once', 'any', 'stream', 'resume']),
+                self._rng.choice(['k1', 'k2']),
+                time.monotonic(),
+                host,
+            )
+        self._broken = None
         self.records.append(record)
+        path = record.path
         target, body = f'/{path}/x', b''
         crashing_requests = sorted(self._cluster.crashing_requests)
         if path in ('stream', 'resume'):
-            # Every prompt has a body of its own.
-            body = record.request_id.encode()
+            # Every prompt has a body of its own, also when it is sent again.
+            body = (record.resumed or record).request_id.encode()
         elif crashing_requests and self._rng.random() < _CRASHING_SHARE:
             record.crashing_request = self._rng.choice(crashing_requests)
             record.path, record.key = 'any', 'k1'
@@ -131,6 +142,9 @@
             ('Deadline-Ms', '4000'),
             ('Content-Length', str(len(body))),
         ]
+        if record.resumed is not None:
+            headers.append(('Last-Event-Id', str(record.event_count)))
+            headers.append(('Resumes', record.resumed.request_id))
         if path in ('stream', 'resume'):
             headers.append(('Token-Counts', '50,20'))
             headers.append(('Prompt-Prefix', self._choose_prompt(record)))
@@ -138,6 +152,8 @@
         data = connection.send(request)
         data += connection.send(h11.Data(data=body))
         data += connection.send(h11.EndOfMessage())
+        if path == 'resume':
+            self._broken = record
         await stream.send_all(data)
         while True:
             event = connection.next_event()
@@ -149,10 +165,28 @@
                 record.body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 record.is_complete = True
+                self._broken = None
                 return
             else:
                 return
 
+    def _build_resume(
+        self, broken: RequestRecord, host: str
+    ) -> RequestRecord | None:
+        """Return an attempt that takes a broken stream up, or None."""
+        count = broken.event_count + broken.body.count(b'\n\n')
+        if not count or broken.status != 200 or broken.crashing_part:
+            return None
+        return RequestRecord(
+            next(self._request_ids),
+            'resume',
+            broken.key,
+            time.monotonic(),
+            host,
+            resumed=broken.resumed or broken,
+            event_count=count,
+        )
+
     def _choose_prompt(self, record: RequestRecord) -> str:
         """Return the parts of a prompt, at times with a crashing one."""
         parts = [f'aa{self._rng.randrange(2)}', f'b{self._rng.randrange(9)}']
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -53,7 +53,7 @@
             self._compact, self._step_clock, self._restore_store,
             self._leaving_engine, self._quiet_engine,
             self._crashing_prompts, self._limited_engine,
-            self._odd_answers, self._crashing_request,
+            self._odd_answers, self._crashing_request, self._rollout,
         )  # fmt: skip
         with trio.move_on_after(seconds):
             while True:
@@ -230,6 +230,23 @@
         await trio.sleep(seconds)
         self._cluster.crashing_requests.discard(identity)
 
+    async def _rollout(self, nursery) -> None:
+        """Replace some engines by engines of another software version."""
+        versions = self._cluster.version_by_service
+        others = {'v1', 'v2', 'v3'} - {versions['model']}
+        versions['model'] = self._rng.choice(sorted(others))
+        for _ in range(self._rng.choice([1, 2, 3])):
+            old_ids = self._cluster.serving_ids('model')
+            new = f'm{self._next_engine_number}'
+            self._next_engine_number += 1
+            self._record(f'{new} of {versions["model"]} starts')
+            await self._cluster.add_engine(nursery, 'model', new)
+            await trio.sleep(self._rng.uniform(0.3, 1.5))
+            if self._rng.random() < 0.7 and len(old_ids) > 1:
+                old = self._rng.choice(old_ids)
+                self._record(f'{old} drains')
+                self._cluster.drain_engine(old)
+
     async def _limited_engine(self, nursery) -> None:
         """Let a server name a limit for all nodes, change and end it."""
         server_id = self._rng.choice(sorted(self._cluster.engine_by_id))
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,6 +6,7 @@
 
 from soak import callers
 from soak import soak_cluster as soak_clusters
+from soak import stream_guarantees
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _REFUSED_STATUSES = (401, 404)
@@ -39,6 +40,7 @@
     violations += _check_duties(cluster)
     violations += _check_crashing_parts(cluster, records)
     violations += _check_crashing_requests(cluster, records)
+    violations += stream_guarantees.find_violations(cluster, records)
     violations += _check_limits(cluster, records)
     violations += _check_endless_answers(cluster)
     return violations
@@ -65,11 +67,8 @@
         if record.body != b'done ' + record.request_id.encode():
             return [f'{name} received a wrong answer: {record.body!r}']
         return []
-    expected = b''.join(
-        b'id: %d\ndata: %s\n\n' % (number, record.request_id.encode())
-        for number in range(1, _EVENT_COUNT + 1)
-    )
-    if record.body != expected:
+    ids = stream_guarantees.event_ids(record)
+    if ids != list(range(record.event_count + 1, _EVENT_COUNT + 1)):
         return [f'{name} received a wrong stream: {record.body!r}']
     return []
 
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -1,6 +1,7 @@
 """A cluster of real node processes with stand-ins for the platform."""
 
 import json
+import math
 import os
 import pathlib
 import signal
@@ -49,6 +50,15 @@
     per_s: float | None
 
 
+class ServingSpan(typing.NamedTuple):
+    """The time in which a backend server of a version served."""
+
+    server_id: str
+    version: str
+    from_s: float
+    until_s: float = math.inf
+
+
 class SoakCluster:
     """Node processes, stand-in servers, and the proxies between them.
 
@@ -74,6 +84,8 @@
         self.process_by_host: dict[str, subprocess.Popen] = {}
         self.crashing_parts: set[bytes] = set()
         self.crashing_requests: set[tuple[bytes, bytes, bytes]] = set()
+        self.version_by_service = {'plain': 'v1', 'model': 'v1'}
+        self.serving_spans: list[ServingSpan] = []
         self.limit_changes_by_id: dict[str, list[LimitChange]] = {}
         self.disruptions: list[Disruption] = []
         self.version = 7
@@ -131,6 +143,10 @@
         self.engine_by_id[server_id] = stand_in
         stand_in.crashing_parts = self.crashing_parts
         stand_in.crashing_requests = self.crashing_requests
+        stand_in.version = self.version_by_service[service]
+        self.serving_spans.append(
+            ServingSpan(server_id, stand_in.version, time.monotonic())
+        )
         address, scope = await serving.serve(
             nursery, stand_in, self.local_host
         )
@@ -140,7 +156,10 @@
         self.proxy_by_engine[server_id] = proxy
         proxy_port = await nursery.start(proxy.serve, self.local_host)
         entry = relay_rig.encode_server_entry(
-            service, 1, address=f'{self.local_host}:{proxy_port}'
+            service,
+            1,
+            address=f'{self.local_host}:{proxy_port}',
+            version=stand_in.version,
         )
         self._entry_by_id[server_id] = json.loads(entry) | {'sequence': 0}
         self._store_entry(server_id)
@@ -155,6 +174,7 @@
         if scope.cancel_called:
             return
         scope.cancel()
+        self._end_span(server_id)
         self.proxy_by_engine[server_id].end()
         nursery.start_soon(self._replace_crashed, nursery, server_id)
 
@@ -169,6 +189,14 @@
         service = 'plain' if server_id[0] == 'p' else 'model'
         await self.add_engine(nursery, service, name)
 
+    def _end_span(self, server_id: str) -> None:
+        self.serving_spans = [
+            span._replace(until_s=min(span.until_s, time.monotonic()))
+            if span.server_id == server_id
+            else span
+            for span in self.serving_spans
+        ]
+
     def set_limit(self, server_id: str, per_s: float | None) -> None:
         """Let a backend server name a limit, or none."""
         self.engine_by_id[server_id].limit_per_s = per_s
@@ -219,6 +247,7 @@
         self._entry_by_id[server_id]['state'] = 'draining'
         self._store_entry(server_id)
         self.draining_since_by_id.setdefault(server_id, time.monotonic())
+        self._end_span(server_id)
 
     def start_node(self, host: str) -> None:
         """Start a node's process."""
--- /dev/null
+++ b/soak/stream_guarantees.py
@@ -0,0 +1,78 @@
+"""Checks that streams keep to the software version that began them."""
+
+import re
+import typing
+
+from soak import callers
+from soak import soak_cluster as soak_clusters
+
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) \S+\n\n')
+_MAX_MIXED = 2
+_MIN_RESUMED = 12
+_CONTACT_S = 3.0
+
+
+def event_ids(record: callers.RequestRecord) -> list[int]:
+    """Return the numbers of the events of an answer."""
+    return [int(number) for number, _ in _EVENT.findall(record.body)]
+
+
+def find_violations(
+    cluster: soak_clusters.SoakCluster,
+    records: typing.Sequence[callers.RequestRecord],
+) -> list[str]:
+    """Return a text for each rule about versions that is violated."""
+    violations = []
+    mixed = [r.request_id for r in records if len(_versions(r)) > 1]
+    if len(mixed) > _MAX_MIXED:
+        violations.append(f'streams of two versions: {mixed}')
+    began = [
+        record.status == 200
+        for record in records
+        if record.path == 'resume'
+        and record.resumed is None
+        and cluster.is_in_touch(record.host, record.sent_at_s)
+    ]
+    resumed = [
+        record.status == 200
+        for record in records
+        if record.resumed is not None
+        and cluster.is_in_touch(record.host, record.sent_at_s)
+        and _is_version_served(cluster, record)
+    ]
+    if len(resumed) >= _MIN_RESUMED and began:
+        share, new_share = _mean(resumed), _mean(began)
+        if share < new_share / 2:
+            violations.append(
+                f'{share:.2f} of {len(resumed)} resumed streams went on, '
+                f'{new_share:.2f} of the new ones began'
+            )
+    return violations
+
+
+def _mean(values: list[bool]) -> float:
+    return sum(values) / len(values)
+
+
+def _versions(record: callers.RequestRecord) -> set[bytes]:
+    """Return the versions of a stream over its caller's attempts."""
+    versions = {version for _, version in _EVENT.findall(record.body)}
+    if record.resumed is not None and versions:
+        first = _EVENT.findall(record.resumed.body)
+        versions |= {version for _, version in first}
+    return versions
+
+
+def _is_version_served(
+    cluster: soak_clusters.SoakCluster, record: callers.RequestRecord
+) -> bool:
+    """Whether two engines of the stream's version served all the time."""
+    versions = {v.decode() for _, v in _EVENT.findall(record.resumed.body)}
+    spans = [
+        span
+        for span in cluster.serving_spans
+        if span.version in versions
+        and span.from_s < record.sent_at_s - _CONTACT_S
+        and span.until_s > record.sent_at_s + 1.0
+    ]
+    return len(spans) >= 2
--- /dev/null
+++ b/tests/common/origin_network.py
@@ -0,0 +1,97 @@
+"""Nodes that share the origins of streams, without a network."""
+
+import types
+
+from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.peers import stream_origins
+import trio
+
+from common import fake_clocks
+
+
+class OriginNetwork:
+    """Nodes whose notes arrive at once while both ends run.
+
+    Parameters
+    ----------
+    node_count : int
+        Number of nodes.
+
+    Attributes
+    ----------
+    clock : ManualClock
+        Clock of all nodes.
+    nodes : list of StreamOrigins
+        The nodes.
+    live : set of int
+        Nodes that run.
+    note_counts : list of int
+        Notes that each node has received.
+    query_count : int
+        Queries of all nodes.
+    """
+
+    def __init__(self, node_count):
+        self.clock = fake_clocks.ManualClock()
+        self.live = set(range(node_count))
+        self.note_counts = [0] * node_count
+        self.query_count = 0
+        self.nodes = [self._build(number) for number in range(node_count)]
+
+    def fail(self, number):
+        """Let a node fail; its peers do not know it yet."""
+        self.live.discard(number)
+
+    def restart(self, number):
+        """Start a node that has lost what it kept."""
+        self.live.add(number)
+        self.nodes[number] = self._build(number)
+
+    async def find(self, number, request_id='r1', fingerprint='f'):
+        """Return what a node finds."""
+        query = messages.StreamQuery(request_id, 'model', fingerprint)
+        return await self.nodes[number].find(query)
+
+    def _build(self, number):
+        return stream_origins.StreamOrigins(
+            _Peers(self, number), _Client(self), self.clock
+        )
+
+
+class _Peers:
+    """All other nodes, also those that have just failed."""
+
+    def __init__(self, network, own_number):
+        self._others = [
+            types.SimpleNamespace(
+                copy=types.SimpleNamespace(node_id=f'n{number}'),
+                report=types.SimpleNamespace(host=str(number), peer_port=1),
+            )
+            for number in range(len(network.note_counts))
+            if number != own_number
+        ]
+
+    def live(self):
+        return self._others
+
+
+class _Client:
+    def __init__(self, network):
+        self._network = network
+
+    def send_note(self, address, note, may_connect=False):
+        number = int(address.host)
+        if number in self._network.live:
+            self._network.note_counts[number] += 1
+            data = messages.encode(0, note)
+            self._network.nodes[number].store(messages.decode(data)[1])
+
+    async def request(self, address, message, timeout_s):
+        await trio.lowlevel.checkpoint()
+        self._network.query_count += 1
+        number = int(address.host)
+        if number not in self._network.live:
+            await trio.sleep(timeout_s)
+            return 'timeout'
+        answer = self._network.nodes[number].handle_query(message)
+        return messages.decode(messages.encode(1, answer))[1]
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -9,11 +9,13 @@
 from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import quiet_periods
 from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay.catalogue import route
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
@@ -27,11 +29,13 @@
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import crash_attribution
 from foxtailrelay_node.internal.relay.policy import limit_share
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay.policy import request_fingerprint
+from foxtailrelay_node.internal.relay.policy import stream_version
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay.state import keyed_view
 from foxtailrelay_node.internal.relay.state import store_health
@@ -55,6 +59,7 @@
 from cover.relay import test_server_list as lists
 from cover.relay import test_server_notices as notices
 from cover.relay import test_stream_guarantees as streams
+from cover.relay import test_stream_versions as versions
 from cover.relay import test_usage_reporter as reporters
 
 
@@ -415,6 +420,36 @@
         ),
         attributions.test_poll_at_the_crashes_of_two_requests_is_not_blamed,
     ),
+    'streams go on at any version': (
+        _set(stream_version.VersionRequirement, 'allows', _always(True)),
+        versions.test_stream_goes_on_at_its_version_only,
+    ),
+    'a stream without a known version goes on anywhere': (
+        _set(
+            stream_versions.StreamVersions, 'exclude_servers', _always(set())
+        ),
+        lambda: versions.test_stream_of_an_unknown_origin_is_refused_at_once(
+            ('Last-Event-Id: 2',), 'k1', b'prompt'
+        ),
+    ),
+    'nodes keep the origins of streams to themselves': (
+        _set(
+            stream_origins.StreamOrigins,
+            'record',
+            lambda self, origin: self.store(origin),
+        ),
+        lambda: versions.test_any_node_finds_the_origin_after_two_have_failed(
+            7
+        ),
+    ),
+    'all nodes receive all origins': (
+        _set(stream_origins, '_HOLDER_COUNT', 1000),
+        versions.test_messages_and_memory_are_bounded_at_the_planned_size,
+    ),
+    'a version is known again after a minute whatever was listed': (
+        _set(version_history.VersionHistory, 'find_sole', _always('v1')),
+        versions.test_sole_version_needs_a_minute_without_another_one,
+    ),
     'nodes do not share the limit of a server': (
         _set(limit_share, 'limit_share', _always(1.0)),
         lambda: limits.test_nodes_without_a_dispatcher_keep_the_limit(
