--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt)
 
 test: $(INSTALLED)
-	$(PYTHON) -m pytest $(KNOWN_RED:%=--deselect '%') \
+	$(PYTHON) -m pytest -n 4 --dist loadfile \
+	    $(KNOWN_RED:%=--deselect '%') \
 	    tests/cover tests/quality platform/tests
 
 lint: $(INSTALLED)
