Know the sole version sooner, and ask peers for it

Streams last no longer than their route's timeout, so that time suffices; a node that has just started asks the nodes that keep origins, which answer with the sole version they know.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -260,9 +260,11 @@
   requestId @0 :Text;
   service @1 :Text;
   fingerprint @2 :Text;
+  windowMs @3 :UInt32;
 }
 
 struct StreamFound {
   # At most one origin.
   origins @0 :List(StreamOrigin);
+  soleVersion @1 :Text;
 }
--- a/packages/core/src/foxtailrelay_core/internal/stream_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -43,11 +43,14 @@
         Id under which the stream began, and its service.
     fingerprint : str
         Fingerprint of the request; a stream of another one is not found.
+    window_ms : int
+        Milliseconds for which streams last.
     """
 
     request_id: str
     service: str
     fingerprint: str
+    window_ms: int
 
 
 class StreamFound(typing.NamedTuple):
@@ -57,6 +60,10 @@
     ----------
     origins : tuple of StreamOrigin
         The origin; empty if it is not known.
+    sole_version : str
+        The only version that was listed in the time for which streams last;
+        empty if there were several or the node does not know.
     """
 
     origins: tuple[StreamOrigin, ...]
+    sole_version: str = ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -124,7 +124,7 @@
         # do not know, so placement has connections of its own.
         self._stream_client = dispatch_client.DispatchClient(dialer)
         self.origins = stream_origins.StreamOrigins(
-            self.gossip.peers, self._stream_client, clock
+            view.servers, self.gossip.peers, self._stream_client, clock
         )
         self.server = exchange_server.ExchangeServer(
             self.gossip,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -26,6 +26,9 @@
         longest time between two parts.
     origin : StreamOrigin or None
         Where the stream began, if known.
+    sole_version : str
+        The only version that was listed while a stream may have begun; empty
+        if not known.
     is_origin_recorded : bool
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
@@ -43,6 +46,7 @@
     first_part_s: float | None = None
     max_gap_s: float | None = None
     origin: messages.StreamOrigin | None = None
+    sole_version: str = ''
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -11,6 +11,8 @@
 from foxtailrelay_node.internal.relay.policy import stream_version
 
 _LOG = logbook.Logger('foxtailrelay.requests')
+# Beyond the route's timeout, a stream that its caller takes up may be so old.
+_WINDOW_MARGIN_S = 2.0
 # A caller may come back for this time after its deadline.
 _KEEP_AFTER_DEADLINE_S = 30.0
 _MAX_KEEP_S = 600.0
@@ -34,13 +36,22 @@
         self, job: jobs.Job, progress: progresses.Progress
     ) -> None:
         """Find where a stream began that the caller takes up."""
-        request = job.request
-        if not _is_resumed(job, progress) or not request.resumes:
+        if not _is_resumed(job, progress):
             return
-        query = messages.StreamQuery(
-            request.resumes, job.service, job.fingerprint
+        window_s = job.access.route.timeout_s + _WINDOW_MARGIN_S
+        found = await self._context.origins.find(
+            messages.StreamQuery(
+                job.request.resumes,
+                job.service,
+                job.fingerprint,
+                int(window_s * 1000),
+            )
         )
-        progress.origin = await self._context.origins.find(query)
+        progress.origin = found.origins[0] if found.origins else None
+        # A peer may know longer which versions were listed, but not newer.
+        listed = self._context.servers.versions(job.service)
+        if listed == {found.sole_version}:
+            progress.sole_version = found.sole_version
 
     def record_event(
         self,
@@ -77,7 +88,7 @@
         servers = self._context.servers
         requirement = stream_version.resolve(
             progress.origin,
-            servers.sole_version(job.service),
+            progress.sole_version,
             servers.is_current(),
         )
         usable = servers.usable(job.service)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -177,22 +177,31 @@
             return True
         return self.follower.view.age_s(self._clock.boot_s()) <= _MAX_AGE_S
 
-    def sole_version(self, service: str) -> str:
-        """Return the only version listed for longer than streams last.
+    def sole_version(self, service: str, window_s: float) -> str:
+        """Return the only version that was listed for some time.
 
         Returns
         -------
         str
-            Empty if there were several, one is not known, or the list has
-            not been followed for so long.
+            Empty if there were several, one is not known, the list is not
+            current, or it has not been followed for so long.
         """
-        now_s = self._clock.boot_s()
-        listed = {
+        if not self.is_current():
+            return ''
+        return self._versions.find_sole(
+            service,
+            self.versions(service),
+            self._clock.boot_s(),
+            window_s,
+        )
+
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of a service that are listed."""
+        return {
             server.version
             for server in self._server_by_id.values()
             if server.service == service
         }
-        return self._versions.find_sole(service, listed, now_s)
 
     def is_listed(self, server: backend_server.BackendServer) -> bool:
         """Whether this instance is in the list."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -6,6 +6,7 @@
 from foxtailrelay_core import messages
 import trio
 
+from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import address_book
@@ -34,6 +35,8 @@
 
     Parameters
     ----------
+    servers : ServerList
+        Tells which versions were listed.
     peers : PeerTable
         The other nodes.
     client : DispatchClient
@@ -44,10 +47,12 @@
 
     def __init__(
         self,
+        servers: server_list.ServerList,
         peers: peer_table.PeerTable,
         client: dispatch_client.DispatchClient,
         clock: clocks.Clock,
     ) -> None:
+        self._servers = servers
         self._peers = peers
         self._client = client
         self._clock = clock
@@ -81,16 +86,18 @@
     ) -> messages.StreamFound:
         """Answer a peer."""
         origin = self._find_here(query)
-        return messages.StreamFound((origin,) if origin else ())
+        return messages.StreamFound(
+            (origin,) if origin else (),
+            self._servers.sole_version(query.service, query.window_ms / 1000),
+        )
 
-    async def find(
-        self, query: messages.StreamQuery
-    ) -> messages.StreamOrigin | None:
-        """Return an origin that this node or another one keeps."""
-        origin = self._find_here(query)
-        if origin is not None:
-            return origin
+    async def find(self, query: messages.StreamQuery) -> messages.StreamFound:
+        """Return what this node or another one knows of a stream."""
+        own = self.handle_query(query)
+        if own.origins or (own.sole_version and not query.request_id):
+            return own
         found: list[messages.StreamOrigin] = []
+        sole_versions: set[str] = set()
         addresses = self._holders(query.service)
         # A small cluster can be asked as a whole: the node that relayed the
         # stream may have lost only its caller.
@@ -103,13 +110,19 @@
             )
             if isinstance(answer, messages.StreamFound):
                 found.extend(answer.origins)
+                sole_versions.add(answer.sole_version)
                 if found:
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
                 nursery.start_soon(ask, address)
-        return found[0] if found else None
+        sole_versions.discard('')
+        if len(sole_versions) == 1:
+            own = own._replace(
+                sole_version=own.sole_version or sole_versions.pop()
+            )
+        return own._replace(origins=tuple(found[:1]))
 
     def _find_here(
         self, query: messages.StreamQuery
