--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -26,7 +26,7 @@
 # time for so long only: an answer or the next crash tells which is to blame.
 _AMBIGUOUS_QUARANTINE_S = 5.0
 # A request that was answered before may crash servers no longer.
-_ANSWERED_REQUEST_QUARANTINE_S = 30.0
+_ANSWERED_REQUEST_QUARANTINE_S = 120.0
 # A peer's quarantine that ends later by less is the same one, known with the
 # delay of its report.
 _MIN_EXTENSION_S = 2.0
