Read the change as a newcomer: words, a file of its own for reports

The reports of crashes move out of the quarantine. One edge of behaviour: a new stream whose caller names Resumes without Last-Event-Id is recorded under its own id; a test shows it.

--- a/packages/core/src/foxtailrelay_core/internal/stream_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -62,7 +62,7 @@
         The origin; empty if it is not known.
     sole_version : str
         The only version that was listed in the time for which streams last;
-        empty if there were several or the node does not know.
+        empty if there were several or it is not certain.
     """
 
     origins: tuple[StreamOrigin, ...]
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -120,8 +120,8 @@
             view.servers, view.state, view.quarantine, clock
         )
         self._dispatch_client = dispatch_client.DispatchClient(dialer)
-        # Peers of older releases close connections with messages that they
-        # do not know, so placement has connections of its own.
+        # Peers of older releases close a connection on which they receive
+        # these messages, so placement has connections of its own.
         self._stream_client = dispatch_client.DispatchClient(dialer)
         self.origins = stream_origins.StreamOrigins(
             view.servers, self.gossip.peers, self._stream_client, clock
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -8,6 +8,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay.policy import stream_version
 
 _LOG = logbook.Logger('foxtailrelay.requests')
@@ -16,7 +17,7 @@
 # A caller may come back for this time after its deadline.
 _KEEP_AFTER_DEADLINE_S = 30.0
 _MAX_KEEP_S = 600.0
-# Another node may know the version.
+# The list of another node may be current.
 _OTHER_NODE_RETRY_AFTER_S = 0.3
 
 
@@ -48,7 +49,7 @@
             )
         )
         progress.origin = found.origins[0] if found.origins else None
-        # A peer may know longer which versions were listed, but not newer.
+        # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
         if listed == {found.sole_version}:
             progress.sole_version = found.sole_version
@@ -59,7 +60,7 @@
         progress: progresses.Progress,
         server: backend_server.BackendServer,
     ) -> None:
-        """Record the first event of a stream, before it is forwarded."""
+        """Record where a stream began, before its first event is sent."""
         if progress.is_origin_recorded or not job.access.route.is_resumable:
             return
         progress.is_origin_recorded = True
@@ -67,9 +68,7 @@
             keep_s = job.deadline_s - self._context.now_s()
             keep_s = min(_MAX_KEEP_S, keep_s + _KEEP_AFTER_DEADLINE_S)
             progress.origin = messages.StreamOrigin(
-                job.request.resumes or job.request.request_id
-                if _is_resumed(job, progress)
-                else job.request.request_id,
+                _first_attempt_id(job.request),
                 job.service,
                 server.version,
                 *server.instance_key,
@@ -118,7 +117,7 @@
     def _refuse_unresolved(
         unresolved: stream_version.Unresolved,
     ) -> errors.Failure:
-        if unresolved.may_ask_elsewhere:
+        if unresolved.is_node_specific:
             return errors.Failure(
                 errors.ErrorKind.NOT_RUN,
                 unresolved.why,
@@ -131,6 +130,13 @@
         )
 
 
+def _first_attempt_id(request: caller_request.CallerRequest) -> str:
+    """Return the id that the caller names when it takes the stream up."""
+    if request.last_event_id is not None and request.resumes:
+        return request.resumes
+    return request.request_id
+
+
 def _is_resumed(job: jobs.Job, progress: progresses.Progress) -> bool:
     """Whether the caller has events of this stream."""
     return job.access.route.is_stream and (
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from foxtailrelay_node.internal.relay.backends import crash_records
+from foxtailrelay_node.internal.relay.backends import crash_report
 from foxtailrelay_node.internal.relay.backends import quarantine as quarantines
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.policy import crash_attribution
@@ -16,8 +17,6 @@
 _LOG = logbook.Logger('foxtailrelay.backends')
 # Crashes this far apart may still have the same cause.
 _EVIDENCE_S = 3600.0
-# Longer than a report takes to reach every node of a large cluster.
-_GOSSIP_S = 60.0
 # After a quarantine one more crash suffices for the next one, which is twice
 # as long.
 _QUARANTINE_S = 600.0
@@ -30,10 +29,8 @@
 # A peer's quarantine that ends later by less is the same one, known with the
 # delay of its report.
 _MIN_EXTENSION_S = 2.0
-# Limits of the memory of a long-lived node, and of the size of its reports.
+# Limit of the memory of a long-lived node.
 _MAX_QUARANTINED = 1000
-_MAX_REPORTED = 100
-_MAX_REPORTED_CRASH_SUSPECTS = 500
 # Longer ids of parts, which callers choose, are replaced by their hash.
 _MAX_ID_LENGTH = 32
 
@@ -142,66 +139,21 @@
 
     def build_crashes(self) -> tuple[messages.Crash, ...]:
         """Return recent crashes under this node's requests, for its report."""
-        now_s = self._clock.boot_s()
-        recent = [
-            (crash.at_s, service, key, crash.sent_at_s_by_suspect)
-            for service, records in self._records_by_service.items()
-            for key, crash in records.crash_by_instance.items()
-            if crash.is_own
-            and crash.sent_at_s_by_suspect
-            and now_s - crash.at_s < _GOSSIP_S
-        ]
-        crashes = []
-        suspect_count = 0
-        recent.sort(key=lambda row: row[:3], reverse=True)
-        for at_s, service, key, sent_at_s_by_suspect in recent:
-            suspect_count += len(sent_at_s_by_suspect)
-            if suspect_count > _MAX_REPORTED_CRASH_SUSPECTS:
-                break
-            crashes.append(
-                messages.Crash(
-                    *key,
-                    service,
-                    _to_ms(now_s - at_s),
-                    tuple(sent_at_s_by_suspect),
-                    tuple(
-                        _to_ms(at_s - sent_at_s)
-                        for sent_at_s in sent_at_s_by_suspect.values()
-                    ),
-                )
-            )
-        return tuple(crashes)
+        return crash_report.build_crashes(
+            self._records_by_service, self._clock.boot_s()
+        )
 
     def build_quarantined(self) -> tuple[messages.QuarantinedSuspect, ...]:
         """Return the suspects in quarantine, for this node's report."""
-        now_s = self._clock.boot_s()
-        suspects = [
-            messages.QuarantinedSuspect(
-                service,
-                quarantine.suspect_id,
-                quarantine.crash_count,
-                _to_ms(now_s - quarantine.last_crash_s),
-                _to_ms(quarantine.until_s - now_s),
-            )
-            for service, records in self._records_by_service.items()
-            for quarantine in records.quarantine_by_suspect.values()
-            if quarantine.until_s > now_s
-        ]
-        return tuple(suspects[-_MAX_REPORTED:])
+        return crash_report.build_quarantined(
+            self._records_by_service, self._clock.boot_s()
+        )
 
     def build_answered(self) -> tuple[messages.AnsweredSuspect, ...]:
         """Return the suspects that were answered to this node."""
-        now_s = self._clock.boot_s()
-        suspects = []
-        for service, records in self._records_by_service.items():
-            for suspect_id in _recent_suspects(records, now_s):
-                answers = records.answers.find(suspect_id)
-                if answers is not None and answers.own_at_s > -math.inf:
-                    age_ms = _to_ms(now_s - answers.own_at_s)
-                    suspects.append(
-                        messages.AnsweredSuspect(service, suspect_id, age_ms)
-                    )
-        return tuple(suspects[:_MAX_REPORTED])
+        return crash_report.build_answered(
+            self._records_by_service, self._clock.boot_s()
+        )
 
     def merge_peer_report(
         self, report: messages.NodeReport, made_at_s: float, peer: str
@@ -417,17 +369,6 @@
     return _QUARANTINE_S
 
 
-def _recent_suspects(
-    records: crash_records.CrashRecords, now_s: float
-) -> typing.Iterable[str]:
-    """Return suspects of recent crashes, and those in quarantine."""
-    suspects = dict.fromkeys(records.quarantine_by_suspect)
-    for crash in reversed(records.crash_by_instance.values()):
-        if now_s - crash.at_s < _GOSSIP_S:
-            suspects |= dict.fromkeys(crash.sent_at_s_by_suspect)
-    return suspects
-
-
 def _log_name(quarantine: quarantines.Quarantine) -> str:
     return 'request' if quarantine.is_request else 'part'
 
@@ -462,7 +403,3 @@
             yield suspect_id.lower()
         else:
             yield xxhash.xxh64_hexdigest(suspect_id.lower().encode())
-
-
-def _to_ms(seconds: float) -> int:
-    return int(max(0.0, min(crash_records.UNKNOWN_MS, seconds * 1000)))
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -1,4 +1,4 @@
-"""What a node knows of the crashes and answers of one service."""
+"""Crashes, answers and quarantines of one service, as of one node."""
 
 import collections
 import math
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/limit_allowances.py
@@ -16,7 +16,7 @@
 # an answer can tell that the limit has been raised.
 _MIN_PER_S = 0.25
 _EVICT_AFTER_S = 60.0
-# Only an answer tells that a limit was raised or has ended, so a limited
+# Only an answer shows that a limit was raised or has ended, so a limited
 # server is preferred after this time without one, though others may be faster.
 _CONFIRM_INTERVAL_S = 1.0
 # Bounds of the delay before a refused caller may return.
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -36,7 +36,7 @@
     Parameters
     ----------
     servers : ServerList
-        Tells which versions were listed.
+        Versions that were listed.
     peers : PeerTable
         The other nodes.
     client : DispatchClient
@@ -92,19 +92,19 @@
         )
 
     async def find(self, query: messages.StreamQuery) -> messages.StreamFound:
-        """Return what this node or another one knows of a stream."""
+        """Return what this node or another one has recorded of a stream."""
         own = self.handle_query(query)
         if own.origins or (own.sole_version and not query.request_id):
             return own
         found: list[messages.StreamOrigin] = []
         sole_versions: set[str] = set()
         addresses = self._holders(query.service)
-        # A small cluster can be asked as a whole: the node that relayed the
+        # In a small cluster all peers are queried: the node that relayed the
         # stream may have lost only its caller.
         if not gossip_params.is_full_mesh(len(addresses)):
             addresses = addresses[:_HOLDER_COUNT]
 
-        async def ask(address: address_book.PeerAddress) -> None:
+        async def query_peer(address: address_book.PeerAddress) -> None:
             answer = await self._client.request(
                 address, query, _QUERY_TIMEOUT_S
             )
@@ -116,7 +116,7 @@
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
-                nursery.start_soon(ask, address)
+                nursery.start_soon(query_peer, address)
         sole_versions.discard('')
         if len(sole_versions) == 1:
             own = own._replace(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_version.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_version.py
@@ -36,18 +36,18 @@
 
 
 class Unresolved(typing.NamedTuple):
-    """The version of a stream is not known.
+    """The version of a stream is not certain.
 
     Parameters
     ----------
     why : str
         Cause, for the log and the caller.
-    may_ask_elsewhere : bool
-        Whether another node may know it.
+    is_node_specific : bool
+        Whether another node may have the answer.
     """
 
     why: str
-    may_ask_elsewhere: bool
+    is_node_specific: bool
 
 
 def resolve(
@@ -73,7 +73,7 @@
         if sole_version:
             return VersionRequirement(sole_version)
         return Unresolved(
-            'no node knows which version began the stream', False
+            'the version that began the stream is not recorded', False
         )
     if not origin.is_certain:
         return Unresolved(
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -179,7 +179,7 @@
 ) -> list[str]:
     """Check that servers get no more than they accept from all nodes.
 
-    All nodes that are in touch count, whether the server told them or not.
+    All nodes in touch count, whether the server has named it to them or not.
     """
     record_by_id = {record.request_id: record for record in records}
     violations = []
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -28,7 +28,7 @@
     note_counts : list of int
         Notes that each node has received.
     lists : list
-        What the nodes know of versions; ``known`` is a sole version.
+        The nodes' lists; ``sole`` is their sole version, if not empty.
     query_count : int
         Queries of all nodes.
     """
@@ -42,7 +42,7 @@
         self.nodes = [self._build(number) for number in range(node_count)]
 
     def fail(self, number):
-        """Let a node fail; its peers do not know it yet."""
+        """Let a node fail; its peers still list it as live."""
         self.live.discard(number)
 
     def restart(self, number):
@@ -79,13 +79,11 @@
 
 
 class _ServerList:
-    """Knows a sole version, or none."""
-
     def __init__(self):
-        self.known = ''
+        self.sole = ''
 
     def sole_version(self, service, window_s):
-        return self.known
+        return self.sole
 
 
 class _Client:
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -270,6 +270,16 @@
     assert len(requests) == 1
 
 
+@relay_rig.with_rig
+async def test_new_stream_that_names_resumes_is_kept_under_its_own_id(rig):
+    rig.add_server('model', 1, _stream_backend(1, 2, [], is_cut=True))
+    await _send(rig, 'Resumes: other')
+    del rig.dialer.backend_by_host['10.0.0.1']
+    rig.add_server('model', 2, _stream_backend(3, 4, []))
+    answer = await _send(rig, *_RESUMED)
+    assert b'id: 4' in answer
+
+
 @relay_rig.with_rig
 async def test_stream_is_taken_up_twice_under_the_first_id(rig):
     """Guards against an origin that is lost with the second break."""
@@ -338,9 +348,9 @@
     async def main():
         network = origin_network.OriginNetwork(4)
         for number in (1, 2):
-            network.lists[number].known = 'v1'
+            network.lists[number].sole = 'v1'
         assert (await network.find(0, '')).sole_version == 'v1'
-        network.lists[2].known = 'v2'
+        network.lists[2].sole = 'v2'
         assert (await network.find(0, '')).sole_version == ''
 
     _run(main)
