Check the version again right before a stream is sent on

Found by reading the diff: a server of another version that is listed while the dispatcher chooses could get a resumed stream, since only the servers that were listed before are excluded. The test fails without the check (a mutant shows it). Without any server of the service, callers get no-backend with a time to return, not stream-version-gone.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -118,7 +118,10 @@
             if refusal is not None:
                 await backend.aclose()
                 return refusal
-            if not self._context.servers.is_usable(server):
+            if not (
+                self._context.servers.is_usable(server)
+                and progress.may_use(server)
+            ):
                 await backend.aclose()
                 return None
             result = await self._send(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -4,6 +4,9 @@
 
 from foxtailrelay_core import messages
 
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.policy import stream_version
+
 
 @dataclasses.dataclass
 class Progress:
@@ -29,6 +32,8 @@
     sole_version : str
         The only version that was listed while a stream may have begun; empty
         if not known.
+    requirement : VersionRequirement or None
+        The servers that may go on with the stream, if it is resumed.
     is_origin_recorded : bool
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
@@ -47,11 +52,16 @@
     max_gap_s: float | None = None
     origin: messages.StreamOrigin | None = None
     sole_version: str = ''
+    requirement: stream_version.VersionRequirement | None = None
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
     _last_part_at_s: float = 0.0
 
+    def may_use(self, server: backend_server.BackendServer) -> bool:
+        """Whether a server may get the request."""
+        return self.requirement is None or self.requirement.allows(server)
+
     def record_part(self, received_at_s: float, now_s: float) -> None:
         """Record the time of a part of the answer."""
         if self.first_part_s is None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -21,6 +21,10 @@
 _OTHER_NODE_RETRY_AFTER_S = 0.3
 
 
+# A server that replaces failed ones takes seconds to boot.
+_NO_SERVER_RETRY_AFTER_S = 1.0
+
+
 class StreamVersions:
     """Records where streams begin and chooses who may go on with them.
 
@@ -93,6 +97,12 @@
         usable = servers.usable(job.service)
         if isinstance(requirement, stream_version.Unresolved):
             failure = self._refuse_unresolved(requirement)
+        elif not usable:
+            failure = errors.Failure(
+                errors.ErrorKind.NO_BACKEND,
+                'no backend server is listed',
+                retry_after_s=_NO_SERVER_RETRY_AFTER_S,
+            )
         elif not any(requirement.allows(server) for server in usable):
             failure = errors.Failure(
                 errors.ErrorKind.STREAM_VERSION_GONE,
@@ -100,6 +110,7 @@
                 'request without the last event id to begin anew',
             )
         else:
+            progress.requirement = requirement
             return {s.id for s in usable if not requirement.allows(s)}
         _LOG.info(
             'resume-refused',
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import stream_version
+from foxtailrelay_node.internal.relay.state import topic_store
 import pytest
 import trio
 
@@ -234,6 +235,38 @@
     assert requests == []
 
 
+@relay_rig.with_rig
+async def test_server_that_is_listed_while_another_is_chosen_is_not_used(rig):
+    """Guards against a rollout in the moment of a resume."""
+    await _begin(rig)
+    same, other = [], []
+    rig.add_server('model', 2, _stream_backend(3, 4, same))
+    place = rig.dispatcher.handle_call
+
+    def list_and_place(call):
+        if not other:
+            other.append(None)
+            rig.add_server(
+                'model', 3, _stream_backend(3, 4, other), version='v2'
+            )
+            call = call._replace(excluded=('s1', 's2'))
+        return place(call)
+
+    rig.dispatcher.handle_call = list_and_place
+    answer = await _send(rig, *_RESUMED)
+    assert relay_rig.status_code(answer) == 200
+    assert (len(same), other) == (1, [None])
+
+
+@relay_rig.with_rig
+async def test_resume_without_any_server_may_be_tried_again(rig):
+    await _begin(rig)
+    rig.servers.handle_records([topic_store.KeyedRecord('s1', 9, None)])
+    answer = await _send(rig, *_RESUMED)
+    assert relay_rig.status_code(answer) == 503
+    assert b'retry-after: 1' in answer.lower()
+
+
 @relay_rig.with_rig
 async def test_node_with_an_old_list_resumes_nothing(rig):
     """Guards against a server that has started again unseen."""
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -8,6 +8,7 @@
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
+from foxtailrelay_node.internal.relay.attempts import progress
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
@@ -442,6 +443,10 @@
             7
         ),
     ),
+    'a server is not checked again before a stream is sent to it': (
+        _set(progress.Progress, 'may_use', _always(True)),
+        versions.test_server_that_is_listed_while_another_is_chosen_is_not_used,
+    ),
     'all nodes receive all origins': (
         _set(stream_origins, '_HOLDER_COUNT', 1000),
         versions.test_messages_and_memory_are_bounded_at_the_planned_size,
