--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -236,7 +236,7 @@
 
 
 @relay_rig.with_rig
-async def test_server_that_is_listed_while_another_is_chosen_is_not_used(rig):
+async def test_server_listed_while_another_is_chosen_is_not_used(rig):
     """Guards against a rollout in the moment of a resume."""
     await _begin(rig)
     same, other = [], []
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -445,7 +445,7 @@
     ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
-        versions.test_server_that_is_listed_while_another_is_chosen_is_not_used,
+        versions.test_server_listed_while_another_is_chosen_is_not_used,
     ),
     'all nodes receive all origins': (
         _set(stream_origins, '_HOLDER_COUNT', 1000),
