Say in attempt-ended where each part of an answer came from

Change: attempt-ended names attempt, started_ms, version, framing, events, first_event, last_event and end_proof, also when the attempt was cancelled.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -95,7 +95,7 @@
         doubt = await self._find_doubt_of_end()
         if doubt is not None:
             return doubt
-        self.is_complete = True
+        self._record_end()
         self._context.record_usage(self._job, self._progress)
         if not head.is_success:
             return results.ServerFailure(head, bytes(body))
@@ -184,7 +184,7 @@
         doubt = await self._find_doubt_of_end()
         if doubt is not None:
             return doubt
-        self.is_complete = True
+        self._record_end()
         self._context.record_usage(self._job, self._progress)
         await self._start_answer(head)
         rest = splitter.take_rest()
@@ -233,7 +233,7 @@
         while part is not None:
             await self._connection.send_part(part)
             part = await self._backend.receive_part()
-        self.is_complete = True
+        self._record_end()
         await self._connection.finish_answer()
         return results.Done()
 
@@ -271,6 +271,11 @@
         )
         return results.Broken(f'{reason}, and {check.value}', True)
 
+    def _record_end(self) -> None:
+        """Record that the answer is whole, and what shows it."""
+        self.is_complete = True
+        self._progress.end_proof = self._backend.framing.value
+
     def _record_first_part(self) -> None:
         self._context.record_first_part(
             self._job,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -14,6 +14,7 @@
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import stream_versions
+from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.policy import isolation_delay
@@ -334,6 +335,8 @@
         progress.may_have_run = True
         progress.attempt_sent_at_s = self._context.now_s()
         progress.attempt_first_event_at_s = None
+        progress.end_proof = ''
+        progress.position.begin_answer()
         self._context.loads.record_sent(
             server, job.request.prompt_parts, placed.uncached_tokens
         )
@@ -346,10 +349,7 @@
             return result
         except trio.Cancelled:
             self._record_cancelled(
-                job,
-                placed,
-                exchange.has_answered,
-                progress.attempt_sent_at_s,
+                job, placed, progress, backend, exchange.has_answered
             )
             raise
         finally:
@@ -376,20 +376,11 @@
         server = placed.view.server
         outcome = type(result).__name__.lower()
         self._context.metrics.attempts.labels(job.service, outcome).inc()
-        fields = {
-            'request': job.request.request_id,
-            'server': server.id,
+        fields = self._describe_attempt(job, server, progress, backend) | {
             'outcome': outcome,
-            'after_s': round(self._context.now_s() - job.received_at_s, 3),
             'first_s': _rounded(progress.first_part_s),
             'gap_s': _rounded(progress.max_gap_s),
         }
-        if backend.peer_id is not None:
-            fields['through'] = backend.peer_id
-        if backend.is_close_delimited:
-            fields['without_length'] = True
-        if progress.forwarded_event_id is not None:
-            fields['last_event'] = progress.forwarded_event_id
         if is_link_cut:
             fields['link_cut'] = True
         match result:
@@ -410,8 +401,9 @@
         self,
         job: jobs.Job,
         placed: placement_result.Placed,
+        progress: progresses.Progress,
+        backend: backend_connection.BackendConnection,
         has_answered: bool,
-        sent_at_s: float,
     ) -> None:
         """Record an attempt that ended by the deadline or a disconnect."""
         server = placed.view.server
@@ -419,22 +411,48 @@
         if not has_answered and now_s >= job.deadline_s:
             # The server accepted the request and never answered.
             self._context.loads.record_failure(server)
-            if self._context.links.has_heard_since(sent_at_s):
+            if self._context.links.has_heard_since(progress.attempt_sent_at_s):
                 # Otherwise this node's own links may be cut, which must not
                 # count against the server at the dispatcher.
                 placed.reservation.record_end(messages.PlaceEvent.FAILED)
         self._context.metrics.attempts.labels(job.service, 'cancelled').inc()
         _LOG.info(
             'attempt-ended',
-            extra={
-                'request': job.request.request_id,
-                'server': server.id,
-                'outcome': 'cancelled',
-                'answered': has_answered,
-                'after_s': round(now_s - job.received_at_s, 3),
-            },
+            extra=self._describe_attempt(job, server, progress, backend)
+            | {'outcome': 'cancelled', 'answered': has_answered},
         )
 
+    def _describe_attempt(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        backend: backend_connection.BackendConnection,
+    ) -> dict[str, object]:
+        """Return where an attempt's part of the answer came from."""
+        position = progress.position
+        fields: dict[str, object] = {
+            'request': job.request.request_id,
+            'attempt': progress.sent_count,
+            'server': server.id,
+            'started_ms': server.started_ms,
+            'version': server.version or 'unknown',
+            'framing': backend.framing.value,
+            'after_s': round(self._context.now_s() - job.received_at_s, 3),
+        }
+        if backend.peer_id is not None:
+            fields['through'] = backend.peer_id
+        if backend.is_close_delimited:
+            fields['without_length'] = True
+        if position.added_count:
+            fields['events'] = position.added_count
+            fields['first_event'] = position.first_id_of_answer
+        if progress.forwarded_event_id is not None:
+            fields['last_event'] = progress.forwarded_event_id
+        if progress.end_proof:
+            fields['end_proof'] = progress.end_proof
+        return fields
+
     def _may_retry(
         self,
         job: jobs.Job,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -47,6 +47,9 @@
     attempt_first_event_at_s : float or None
         When the first event of the current attempt was received, in seconds
         since boot.
+    end_proof : str
+        What shows that the answer of the current attempt is whole; empty if
+        it is not.
     """
 
     position: stream_position.StreamPosition = dataclasses.field(
@@ -66,6 +69,7 @@
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
+    end_proof: str = ''
     _last_part_at_s: float = 0.0
 
     @property
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -1,5 +1,7 @@
 """An HTTP connection to a backend server."""
 
+import enum
+
 import h11
 import trio
 
@@ -16,6 +18,15 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer."""
+
+    NONE = 'no body'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'end of the connection'
+
+
 class BackendConnectionError(Exception):
     """The connection failed, or the received bytes are not a valid answer."""
 
@@ -34,19 +45,24 @@
 
     Attributes
     ----------
-    is_close_delimited : bool
-        Whether only the end of the connection marks the end of the answer.
+    framing : Framing
+        What marks the end of the current answer.
     """
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._http = _new_http()
-        self.is_close_delimited = False
+        self.framing = Framing.NONE
         self._is_head_request = False
         self._state = request_state.RequestState()
         self._has_received_end = False
         self._is_closed = False
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether only the end of the connection marks the answer's end."""
+        return self.framing is Framing.CONNECTION
+
     @property
     def peer_id(self) -> str | None:
         """The node that carries the connection; None if it is direct."""
@@ -115,6 +131,7 @@
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self._state.begin(request_id)
+        self.framing = Framing.NONE
         self._is_head_request = method == 'HEAD'
         return data
 
@@ -155,9 +172,9 @@
         for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                self.is_close_delimited = (
-                    not self._is_head_request and _is_close_delimited(event)
-                )
+                self.framing = _find_framing(event)
+                if self._is_head_request:
+                    self.framing = Framing.NONE
                 self._state.record_head(self.is_close_delimited)
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -238,13 +255,13 @@
             raise BackendDisconnected(f'connection lost: {error}') from error
 
 
-def _is_close_delimited(response: h11.Response) -> bool:
+def _find_framing(response: h11.Response) -> Framing:
     names = {name for name, _ in response.headers}
-    return (
-        response.status_code not in _STATUSES_WITHOUT_BODY
-        and b'content-length' not in names
-        and b'transfer-encoding' not in names
-    )
+    if response.status_code in _STATUSES_WITHOUT_BODY:
+        return Framing.NONE
+    if b'transfer-encoding' in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b'content-length' in names else Framing.CONNECTION
 
 
 def _new_http() -> h11.Connection:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -25,6 +25,11 @@
         skips an event.
     has_later_events : bool
         Whether an answer has shown that events follow after ``last_id``.
+    first_id_of_answer : int or None
+        Id of the first event that the current answer has added.
+    added_count : int
+        Number of events that the current answer has added, with or without
+        an id.
 
     Examples
     --------
@@ -40,11 +45,15 @@
         self.last_id = resumed_after_id
         self.is_certain = True
         self.has_later_events = False
+        self.first_id_of_answer: int | None = None
+        self.added_count = 0
         self._must_continue = False
 
     def begin_answer(self) -> None:
         """Begin with the events of an answer."""
         self._must_continue = self.last_id is not None
+        self.first_id_of_answer = None
+        self.added_count = 0
 
     def find_fault(self, event: event_splitter.Event) -> str:
         """Take the next event; return why it does not fit, or nothing."""
@@ -53,6 +62,9 @@
                 self.has_later_events |= event.id > self.last_id
                 return f'event {event.id} came after event {self.last_id}'
             self.last_id = event.id
+            if self.first_id_of_answer is None:
+                self.first_id_of_answer = event.id
+            self.added_count += 1
             self.is_certain = True
             self.has_later_events = False
             self._must_continue = False
@@ -61,4 +73,5 @@
                 self.has_later_events = True
                 return f'an event without a number came after {self.last_id}'
             self.is_certain = False
+            self.added_count += 1
         return ''
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -406,7 +406,11 @@
         prompts.test_engine_that_ends_late_in_an_answer_is_not_blamed,
     ),
     'answers that end with their connection are not checked': (
-        _set(backend_connection, '_is_close_delimited', _always(False)),
+        _set(
+            backend_connection,
+            '_find_framing',
+            _always(backend_connection.Framing.CHUNKS),
+        ),
         prompts.test_close_delimited_stream_of_a_crashed_engine_is_blamed,
     ),
     'requests are known again by their id': (
