Believe an end without a length only of the process that began

Callers saw streams without their last events as whole, all those of a server at once, when its process ended and another one was listening at its address at once: its next process, under the same id or a new one, or another server. Also plain answers without a length. Cause: that something accepts connections at an address was taken for proof that the server which began the answer serves on. Change: after the end of a connection that ends an answer, the node asks the address for a report on a new connection. The end counts only if the report names the listed start of the process; else the answer is broken. A report of another process records the end of the listed one.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.attempts import stream_versions
+from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import event_splitter
@@ -248,7 +249,8 @@
         """Return why an answer without a length may lack its end.
 
         A server that gives a request up, or whose process ends, closes its
-        connection like one that has sent everything.
+        connection like one that has sent everything.  Its next process, or
+        another server, may accept connections at its address at once.
         """
         if not self._backend.is_close_delimited:
             return None
@@ -258,23 +260,33 @@
             return results.Broken(f'{reason} at the deadline')
         server = self._placed.view.server
         check = await self._context.end_checker.check(server, reason)
+        doubt = check.value
         if check in _RUNNING:
-            return None
+            proof = (await self._context.prover.check_server(server)).proof
+            if proof is instance_report.InstanceProof.PROVED:
+                return None
+            if proof is instance_report.InstanceProof.OTHER:
+                self._context.end_checker.record_replaced(server, reason)
+            doubt = proof.value
         _LOG.info(
             'answer-end-doubted',
             extra={
                 'request': self._job.request.request_id,
+                'attempt': self._progress.sent_count,
                 'server': server.id,
-                'check': check.value,
+                'started_ms': server.started_ms,
+                'check': doubt,
                 'effect': 'the answer counts as broken',
             },
         )
-        return results.Broken(f'{reason}, and {check.value}', True)
+        return results.Broken(f'{reason}, and {doubt}', True)
 
     def _record_end(self) -> None:
         """Record that the answer is whole, and what shows it."""
         self.is_complete = True
         self._progress.end_proof = self._backend.framing.value
+        if self._backend.is_close_delimited:
+            self._progress.end_proof += ', report of the instance'
 
     def _record_first_part(self) -> None:
         self._context.record_first_part(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
@@ -48,6 +49,8 @@
         Direct connections to them.
     end_checker : ServerEndChecker
         Tells ended servers from lost connections.
+    prover : InstanceProver
+        Proves which instance a connection leads to.
     origins : StreamOrigins
         Software versions that began streams.
     budget : ClusterRetryBudget
@@ -77,6 +80,7 @@
     pool: backend_pool.BackendPool
     links: server_links.ServerLinks
     end_checker: server_end_checker.ServerEndChecker
+    prover: instance_prover.InstanceProver
     origins: stream_origins.StreamOrigins
     budget: cluster_retry_budget.ClusterRetryBudget
     usage: usage_counter.UsageCounter
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_end_checker.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_end_checker.py
@@ -128,6 +128,20 @@
             self._pending.popleft()
         self._has_pending.set()
 
+    def record_replaced(
+        self, server: backend_server.BackendServer, reason: str
+    ) -> None:
+        """Record that another instance answers at the address of this one.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The instance that has ended.
+        reason : str
+            How a connection to it ended, for the log.
+        """
+        self._record_end(server, reason, _REPLACED)
+
     async def run(self) -> None:
         """Look for watched servers that have started again."""
         while True:
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -47,12 +47,15 @@
     ----------
     framing : Framing
         What marks the end of the current answer.
+    is_instance_proved : bool
+        Whether the listed instance has shown that it is at the other end.
     """
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._http = _new_http()
         self.framing = Framing.NONE
+        self.is_instance_proved = False
         self._is_head_request = False
         self._state = request_state.RequestState()
         self._has_received_end = False
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -24,6 +24,12 @@
             ['service', 'outcome'],
             registry=self.registry,
         )
+        self.instance_checks = prometheus_client.Counter(
+            'foxtailrelay_instance_checks',
+            'Reports that backend servers were asked for, by what they prove.',
+            ['proof'],
+            registry=self.registry,
+        )
         self.placements = prometheus_client.Counter(
             'foxtailrelay_placements',
             'Decisions where to send a request, by who decided.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.assembly import peering
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
+from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay import caller_server
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -105,9 +106,10 @@
         self._settings_watcher = settings_watcher.SettingsWatcher(
             source, self._peers.addresses
         )
-        self._pool = backend_pool.BackendPool(
-            server_dialer.ServerDialer(self._links, self._peers.tunnels),
-            clock.boot_s,
+        servers = server_dialer.ServerDialer(self._links, self._peers.tunnels)
+        self._pool = backend_pool.BackendPool(servers, clock.boot_s)
+        self._prover = instance_prover.InstanceProver(
+            servers, ports.report_format, self._metrics
         )
         self._relay = request_relay.RequestRelay(
             self._view.state,
@@ -134,6 +136,7 @@
             pool=self._pool,
             links=self._links,
             end_checker=self._end_checker,
+            prover=self._prover,
             origins=self._peers.origins,
             budget=view.budget,
             usage=view.usage,
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_ports.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_ports.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.duties import duty_platform
 from foxtailrelay_node.internal.relay import node_state
@@ -18,6 +19,8 @@
         The platform's store.
     wire : WireFormat
         Headers of requests and answers.
+    report_format : ReportFormat
+        Format of backend servers' reports.
     configuration_decoder : ConfigurationDecoder
         Format of the configuration.
     server_decoder : ServerDecoder
@@ -36,6 +39,7 @@
 
     store: topic_store.TopicStore
     wire: wire_format.WireFormat
+    report_format: instance_report.ReportFormat
     configuration_decoder: node_state.ConfigurationDecoder
     server_decoder: server_list.ServerDecoder
     duties: duty_platform.DutyPlatform
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
+from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
@@ -38,11 +39,13 @@
 from foxtailrelay_node.internal.relay.tunnels import tunnel_server
 from foxtailrelay_platform import configuration_format
 from foxtailrelay_platform import header_format
+from foxtailrelay_platform import report_format
 from foxtailrelay_platform import server_format
 import trio
 from trio import testing
 
 from common import fake_clocks
+from common import reporting_stream
 from common import virtual_time
 
 KEY_VALIDITY_S = 5.0
@@ -114,6 +117,7 @@
 
     def __init__(self, nursery):
         self.backend_by_host = {}
+        self.started_ms_by_host = {}
         self.connected_hosts = []
         self.closing_hosts = set()
         self._nursery = nursery
@@ -127,7 +131,10 @@
         if backend is None:
             raise ConnectionRefusedError('refused')
         near, far = testing.memory_stream_pair()
-        self._nursery.start_soon(backend, far)
+        reporting = reporting_stream.ReportingStream(
+            far, self.started_ms_by_host.get(host)
+        )
+        self._nursery.start_soon(reporting.serve, backend)
         return near
 
 
@@ -209,6 +216,16 @@
             self.clock,
         )
         nursery.start_soon(self.end_checker.run)
+        self.prover = instance_prover.InstanceProver(
+            server_dialer.ServerDialer(
+                server_links.ServerLinks(
+                    self.dialer, self.servers, self.clock
+                ),
+                self.tunnels,
+            ),
+            report_format.ReportFormat(),
+            metrics,
+        )
         self.timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(self.timer.run)
         wire = header_format.HeaderFormat()
@@ -243,6 +260,7 @@
                     ),
                     links=self.links,
                     end_checker=self.end_checker,
+                    prover=self.prover,
                     origins=self.origins,
                     budget=self.budget,
                     usage=self.usage,
@@ -282,7 +300,9 @@
 
     def add_server(self, service, index, backend, **changes):
         """Add a listed server; ``backend`` serves its connections."""
-        self.dialer.backend_by_host[f'10.0.0.{index}'] = backend
+        host = f'10.0.0.{index}'
+        self.dialer.backend_by_host[host] = backend
+        self.dialer.started_ms_by_host[host] = changes.get('born', 1)
         value = encode_server_entry(service, index, **changes)
         self.servers.handle_records(
             [topic_store.KeyedRecord(f's{index}', index, value)]
--- /dev/null
+++ b/tests/common/reporting_stream.py
@@ -0,0 +1,72 @@
+"""The server's end of a connection on which reports are answered."""
+
+import trio
+
+_REPORT = b'GET /-/report '
+_HEAD_END = b'\r\n\r\n'
+
+
+def encode_report(started_ms):
+    """Encode the answer to a request for a report."""
+    if started_ms is None:
+        return b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
+    body = b'{"busy":false,"born":%d}' % started_ms
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    return head + body
+
+
+class ReportingStream(trio.abc.HalfCloseableStream):
+    """Answers requests for a report; other bytes pass.
+
+    Parameters
+    ----------
+    stream : trio.StapledStream
+        The connection.
+    started_ms : int or None
+        Start of the process; None if it does not report.
+    """
+
+    def __init__(self, stream, started_ms):
+        self.started_ms = started_ms
+        self._stream = stream
+        self._has_other_input = False
+
+    async def serve(self, backend):
+        """Run a backend, which may find a connection with reports only."""
+        try:
+            await backend(self)
+        except trio.BrokenResourceError:
+            if self._has_other_input:
+                raise
+
+    def __getattr__(self, name):
+        return getattr(self._stream, name)
+
+    async def receive_some(self, max_bytes=None):
+        while True:
+            data = await self._stream.receive_some(max_bytes)
+            if not data.startswith(_REPORT):
+                self._has_other_input |= bool(data)
+                return data
+            while _HEAD_END not in data:
+                part = await self._stream.receive_some()
+                if not part:
+                    return part
+                data += part
+            await self._stream.send_all(encode_report(self.started_ms))
+            data = data.partition(_HEAD_END)[2]
+            if data:
+                self._has_other_input = True
+                return data
+
+    async def send_all(self, data):
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self):
+        await self._stream.send_eof()
+
+    async def aclose(self):
+        await self._stream.aclose()
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -10,6 +10,7 @@
 
 from common import answer_reader
 from common import relay_rig
+from common import reporting_stream
 from common import virtual_time
 
 _CHUNKED = 'Transfer-Encoding: chunked\r\n'
@@ -58,20 +59,31 @@
 
 
 class _ScriptedStream(trio.abc.Stream):
-    """The node's end of a connection to an engine that plays a script."""
+    """The node's end of a connection to an engine that plays a script.
 
-    def __init__(self, script, end_process):
-        self._script = list(script)
+    The script begins with the first request that is not for a report.
+    """
+
+    def __init__(self, take_script, end_process):
+        self._take_script = take_script
+        self._script = None
+        self._reports = []
         self._end_process = end_process
 
     async def send_all(self, data):
         await trio.lowlevel.checkpoint()
+        if data.startswith(b'GET /-/report '):
+            self._reports.append(reporting_stream.encode_report(1))
+        elif self._script is None:
+            self._script = self._take_script()
 
     async def wait_send_all_might_not_block(self):
         await trio.lowlevel.checkpoint()
 
     async def receive_some(self, max_bytes=None):
         await trio.lowlevel.checkpoint()
+        if self._reports:
+            return self._reports.pop()
         while self._script:
             step = self._script.pop(0)
             match step:
@@ -100,6 +112,9 @@
             remaining = list(scripts)
             connect = rig.dialer.connect
 
+            def take_script():
+                return list(remaining.pop(0)) if remaining else []
+
             async def connect_scripted(host, port):
                 if host not in rig.dialer.backend_by_host:
                     return await connect(host, port)
@@ -108,9 +123,7 @@
                 def end_process():
                     del rig.dialer.backend_by_host[host]
 
-                return _ScriptedStream(
-                    remaining.pop(0) if remaining else [], end_process
-                )
+                return _ScriptedStream(take_script, end_process)
 
             rig.dialer.connect = connect_scripted
             for index in range(1, len(scripts) + 1):
