Resume streams only at instances that prove themselves

Callers saw events of two software versions in one stream when servers were upgraded in place: each is back under its id with the next version before a list shows it. A request names the id only, so streams went on at the next process, and streams that began there were recorded with the version before. Cause: the list of servers was taken for the processes at their addresses. Change: a connection that carries a resumable stream has first brought a report of the listed start; kept connections stay proved. A stream that goes on is sent to no other process. One that begins at another process goes on at this process only. Test servers that play scripts answer reports.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -13,6 +13,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.attempts import server_connector
 from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
@@ -49,6 +50,7 @@
         self._context = context
         self._evidence = crash_evidence.CrashEvidence(context)
         self._streams = stream_versions.StreamVersions(context)
+        self._connector = server_connector.ServerConnector(context)
         self._rng = random.Random()
 
     async def run(
@@ -114,7 +116,7 @@
         server = placed.view.server
         event, is_crash, is_rejected = messages.PlaceEvent.LEFT, False, False
         try:
-            backend = await self._connect(job, placed)
+            backend = await self._connector.connect(job, server, progress)
             if isinstance(backend, server_dialer.Unreachable):
                 if backend.is_server_failure:
                     event = messages.PlaceEvent.FAILED
@@ -206,30 +208,6 @@
             retry_after_s=round(delay_s, 2),
         )
 
-    async def _connect(
-        self, job: jobs.Job, placed: placement_result.Placed
-    ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
-        """Open a connection, or return why the server is unreachable."""
-        server = placed.view.server
-        # A request that must not be retried needs a new connection, since the
-        # server may have closed an idle one.
-        result = await self._context.pool.acquire(
-            server,
-            job.request.request_id,
-            may_reuse=job.access.route.is_idempotent,
-        )
-        if isinstance(result, server_dialer.Unreachable):
-            _LOG.info(
-                'server-unreachable',
-                extra={
-                    'request': job.request.request_id,
-                    'server': server.id,
-                    'reason': result.reason,
-                    'blamed': result.is_server_failure,
-                },
-            )
-        return result
-
     def _recheck_key(self, job: jobs.Job) -> errors.Failure | None:
         """Return a failure if the key is no longer known to be valid."""
         if job.access.organisation is None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -5,6 +5,7 @@
 from foxtailrelay_core import messages
 
 from foxtailrelay_node.internal.relay import answer_head
+from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_version
@@ -40,6 +41,9 @@
         if not known.
     requirement : VersionRequirement or None
         The servers that may go on with the stream, if it is resumed.
+    instance_check : InstanceCheck or None
+        Why it is not certain which instance answers the current attempt of a
+        resumable stream, if that is so.
     is_origin_recorded : bool
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
@@ -66,6 +70,7 @@
     origin: messages.StreamOrigin | None = None
     sole_version: str = ''
     requirement: stream_version.VersionRequirement | None = None
+    instance_check: instance_prover.InstanceCheck | None = None
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -0,0 +1,131 @@
+"""Opens the connections of attempts, to proved instances if needed."""
+
+import logbook
+
+from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import instance_prover
+from foxtailrelay_node.internal.relay.attempts import job as jobs
+from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.attempts import stream_versions
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.http import backend_connection
+from foxtailrelay_node.internal.relay.tunnels import server_dialer
+
+_LOG = logbook.Logger('foxtailrelay.requests')
+_REPLACED = 'a new connection reached another instance'
+_Proof = instance_report.InstanceProof
+_OTHER_ID = instance_prover.InstanceCheck(_Proof.OTHER)
+
+
+class ServerConnector:
+    """Opens connections for requests.
+
+    A stream that may be resumed has to know the software version that began
+    it, and goes on only at this version.  Versions are those of listed
+    instances, so the instance at the other end is proved first.
+
+    Parameters
+    ----------
+    context : AttemptContext
+        The components of the node.
+    """
+
+    def __init__(self, context: attempt_context.AttemptContext) -> None:
+        self._context = context
+
+    async def connect(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+    ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
+        """Open a connection, or return why the server cannot be used."""
+        progress.instance_check = None
+        # A request that must not be retried needs a new connection, since the
+        # server may have closed an idle one.
+        backend = await self._acquire(
+            job, server, may_reuse=job.access.route.is_idempotent
+        )
+        if (
+            isinstance(backend, server_dialer.Unreachable)
+            or not job.access.route.is_resumable
+        ):
+            return backend
+        if backend.is_instance_proved:
+            return backend
+        check = await self._context.prover.check_connection(server, backend)
+        if check.proof is _Proof.PROVED:
+            if backend.prepare_reuse():
+                return backend
+            # What was proved of this connection is not true of the next one.
+            check = instance_prover.InstanceCheck(_Proof.NONE)
+        return await self._handle_unproved(
+            job, server, progress, backend, check
+        )
+
+    async def _handle_unproved(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        backend: backend_connection.BackendConnection,
+        check: instance_prover.InstanceCheck,
+    ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
+        """Use the connection only for a stream that begins on it."""
+        has_other_id = check == _OTHER_ID
+        is_usable = not (
+            has_other_id or stream_versions.is_resumed(job, progress)
+        )
+        _LOG.info(
+            'instance-unproved',
+            extra={
+                'request': job.request.request_id,
+                'server': server.id,
+                'listed_ms': server.started_ms,
+                'started_ms': check.started_ms,
+                'version': server.version or 'unknown',
+                'check': check.proof.value,
+                'effect': 'a stream that begins here goes on at this '
+                'instance only, or nowhere'
+                if is_usable
+                else 'another server is used',
+            },
+        )
+        if check.proof is _Proof.OTHER:
+            self._context.end_checker.record_replaced(server, _REPLACED)
+        if not is_usable:
+            await backend.aclose()
+            return server_dialer.Unreachable(
+                check.proof.value, is_server_failure=False
+            )
+        progress.instance_check = check
+        if backend.prepare_reuse():
+            return backend
+        await backend.aclose()
+        progress.instance_check = instance_prover.InstanceCheck(_Proof.NONE)
+        return await self._acquire(job, server, may_reuse=False)
+
+    async def _acquire(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        may_reuse: bool,
+    ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
+        result = await self._context.pool.acquire(
+            server,
+            job.request.request_id,
+            may_reuse=may_reuse,
+            prefers_proved=job.access.route.is_resumable,
+        )
+        if isinstance(result, server_dialer.Unreachable):
+            _LOG.info(
+                'server-unreachable',
+                extra={
+                    'request': job.request.request_id,
+                    'server': server.id,
+                    'reason': result.reason,
+                    'blamed': result.is_server_failure,
+                },
+            )
+        return result
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -41,7 +41,7 @@
         self, job: jobs.Job, progress: progresses.Progress
     ) -> None:
         """Find where a stream began that the caller takes up."""
-        if not _is_resumed(job, progress):
+        if not is_resumed(job, progress):
             return
         window_s = job.access.route.timeout_s + _WINDOW_MARGIN_S
         found = await self._context.origins.find(
@@ -71,7 +71,7 @@
         if progress.origin is None:
             keep_s = job.deadline_s - self._context.now_s()
             keep_s = min(_MAX_KEEP_S, keep_s + _KEEP_AFTER_DEADLINE_S)
-            progress.origin = messages.StreamOrigin(
+            origin = messages.StreamOrigin(
                 _first_attempt_id(job.request),
                 job.service,
                 server.version,
@@ -80,13 +80,22 @@
                 self._context.servers.is_current(),
                 int(max(0.0, keep_s) * 1000),
             )
+            check = progress.instance_check
+            if check is not None:
+                # The version of an instance that is not listed is unknown.
+                origin = origin._replace(
+                    version='',
+                    started_ms=check.started_ms or 0,
+                    is_certain=check.started_ms is not None,
+                )
+            progress.origin = origin
         self._context.origins.record(progress.origin)
 
     def exclude_servers(
         self, job: jobs.Job, progress: progresses.Progress
     ) -> set[str] | errors.Failure:
         """Return the servers that must not go on with a stream."""
-        if not _is_resumed(job, progress):
+        if not is_resumed(job, progress):
             return set()
         servers = self._context.servers
         requirement = stream_version.resolve(
@@ -148,7 +157,7 @@
     return request.request_id
 
 
-def _is_resumed(job: jobs.Job, progress: progresses.Progress) -> bool:
+def is_resumed(job: jobs.Job, progress: progresses.Progress) -> bool:
     """Whether the caller has events of this stream."""
     return job.access.route.is_stream and (
         progress.forwarded_event_id is not None
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_pool.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_pool.py
@@ -47,6 +47,7 @@
         server: backend_server.BackendServer,
         request_id: str,
         may_reuse: bool,
+        prefers_proved: bool = False,
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Return a connection to a server.
 
@@ -60,6 +61,8 @@
         may_reuse : bool
             Whether an idle connection may be returned; it may turn out to
             be closed only after a request has been sent on it.
+        prefers_proved : bool
+            Whether connections whose instance is proved come first.
 
         Returns
         -------
@@ -67,7 +70,9 @@
             The connection, or why the server cannot be reached.
         """
         if may_reuse:
-            connection = await self._take_idle(server, request_id)
+            connection = await self._take_idle(
+                server, request_id, prefers_proved
+            )
             if connection is not None:
                 return connection
         result = await self._dialer.connect(server)
@@ -90,12 +95,15 @@
         idle.append(_IdleConnection(connection, self._now_s()))
 
     async def _take_idle(
-        self, server: backend_server.BackendServer, request_id: str
+        self,
+        server: backend_server.BackendServer,
+        request_id: str,
+        prefers_proved: bool,
     ) -> backend_connection.BackendConnection | None:
         """Return the last used connection that may carry a request."""
         idle = self._idle_by_key.get(server.instance_key, ())
         unusable = []
-        found = None
+        found: _IdleConnection | None = None
         for candidate in reversed(tuple(idle)):
             connection = candidate.connection
             age_s = self._now_s() - candidate.since_s
@@ -107,14 +115,17 @@
                 unusable.append(connection)
                 idle.remove(candidate)
             elif connection.may_carry(request_id):
-                found = connection
-                idle.remove(candidate)
-                break
+                found = found or candidate
+                if not prefers_proved or connection.is_instance_proved:
+                    found = candidate
+                    break
+        if found is not None:
+            idle.remove(found)
         # A cancelled caller would lose the connection that was found.
         with trio.CancelScope(shield=True):
             for connection in unusable:
                 await connection.aclose()
-        return found
+        return found.connection if found is not None else None
 
     async def close_expired(self) -> None:
         """Close connections that have exceeded the idle limit."""
--- a/tests/common/byte_exact.py
+++ b/tests/common/byte_exact.py
@@ -17,9 +17,13 @@
         How many more bytes it accepts.
     is_closed_by_node : bool
         Whether the node has closed the connection.
+    report : bytes
+        What answers requests for a report, which are not received; empty if
+        they are received like others.
     """
 
-    def __init__(self, window=0):
+    def __init__(self, window=0, report=b''):
+        self.report = report
         self.received = bytearray()
         self.window = window
         self.is_closed_by_node = False
@@ -70,6 +74,10 @@
         await trio.lowlevel.checkpoint()
         far = self._far
         data = bytes(data)
+        if far.report and data.startswith(b'GET /-/report '):
+            self._check()
+            far.send(far.report)
+            return
         while data:
             self._check()
             count = min(far.window, len(data))
@@ -116,13 +124,14 @@
         The connections, in the order in which they were opened.
     """
 
-    def __init__(self, window=0):
+    def __init__(self, window=0, report=b''):
         self.ends = []
         self.window = window
+        self._report = report
 
     async def connect(self, host, port):
         await trio.lowlevel.checkpoint()
-        self.ends.append(ServerEnd(self.window))
+        self.ends.append(ServerEnd(self.window, self._report))
         return NodeEnd(self.ends[-1])
 
 
--- a/tests/cover/relay/test_cut_heads.py
+++ b/tests/cover/relay/test_cut_heads.py
@@ -11,6 +11,7 @@
 
 from common import byte_exact
 from common import relay_rig
+from common import reporting_stream
 
 _TOKENS = ('Token-Counts: 10,10', 'Prompt-Prefix: a:10')
 _WHOLE = b'whole'
@@ -68,7 +69,10 @@
 
     def __init__(self, rig, kind, path):
         self._kind, self._path = kind, path
-        self._dialer = byte_exact.ByteExactDialer(_WINDOW)
+        report = reporting_stream.encode_report(1)
+        if path.is_tunnel:
+            report = tunnel_stream.HEADER.pack(len(report)) + report
+        self._dialer = byte_exact.ByteExactDialer(_WINDOW, report)
         rig.dialer.connect = self._dialer.connect
         if path.is_tunnel:
             rig.links.connect = self._open_tunnel
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -433,3 +433,40 @@
         assert [len(f.origins) for f in found] == [0] * 4 + [1] * 5
 
     _run(main)
+
+
+@pytest.mark.parametrize('started_ms', [2, None])
+def test_stream_does_not_go_on_at_an_unlisted_process(started_ms):
+    """Guards against the next version of a server, before a list shows it."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        await _begin(rig)
+        requests = []
+        rig.add_server('model', 2, _stream_backend(3, 4, requests))
+        rig.dialer.started_ms_by_host['10.0.0.2'] = started_ms
+        answer = await _send(rig, *_RESUMED)
+        assert relay_rig.status_code(answer) == 503
+        assert requests == []
+
+    play()
+
+
+@relay_rig.with_rig
+async def test_stream_begun_at_an_unlisted_process_goes_on_there_only(
+    rig,
+):
+    """Guards against events that count as those of the version before."""
+    first, same, other = [], [], []
+    rig.add_server('model', 1, _stream_backend(1, 2, first, is_cut=True))
+    rig.dialer.started_ms_by_host['10.0.0.1'] = 2
+    assert b'id: 2' in await _send(rig)
+    rig.add_server('model', 2, _stream_backend(3, 4, other))
+    answer = await _send(rig, *_RESUMED)
+    _check_refused(answer, errors.ErrorKind.STREAM_VERSION_GONE)
+    rig.add_server(
+        'model', 1, _stream_backend(3, 4, same), version='v2', born=2
+    )
+    answer = await _send(rig, *_RESUMED)
+    assert relay_rig.status_code(answer) == 200
+    assert (len(first), len(same), other) == (1, 1, [])
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -2,7 +2,9 @@
 
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import answer_forwarder
+from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import answer_writer
 from foxtailrelay_node.internal.relay.http import event_splitter
@@ -15,7 +17,12 @@
 from cover.relay import test_answer_writes as writes
 from cover.relay import test_closing_answers as closings
 from cover.relay import test_doubted_ends as ends
+from cover.relay import test_replaced_instances as replaced
 from cover.relay import test_stream_endings as endings
+from cover.relay import test_stream_versions as versions
+
+
+_PROVED = instance_report.InstanceProof.PROVED
 
 
 def _always(value):
@@ -26,6 +33,10 @@
     return None
 
 
+async def _prove_anything(*args):
+    return instance_prover.InstanceCheck(_PROVED)
+
+
 async def _do_nothing(*args):
     return None
 
@@ -63,6 +74,17 @@
     )
 
 
+def _check_ending_process_without_reports():
+    """Check what connections alone show; a report would show it as well."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            instance_prover.InstanceProver, 'check_server', _prove_anything
+        )
+        ends.test_end_of_an_answer_is_not_believed_of_an_ending_process(
+            '/once/x'
+        )
+
+
 _MUTANTS = {
     'an answer counts as sent when it is encoded': (
         (answer_state.AnswerState, 'begin_write', _begin_whole),
@@ -130,11 +152,25 @@
     ),
     'a check that is reset proves that a server runs': (
         (server_end_checker, '_MAX_RESETS', 1),
-        lambda: (
-            ends.test_end_of_an_answer_is_not_believed_of_an_ending_process(
-                '/once/x'
-            )
+        _check_ending_process_without_reports,
+    ),
+    'what accepts at the address has begun the answer': (
+        (
+            instance_prover.InstanceProver,
+            'check_server',
+            _prove_anything,
         ),
+        lambda: replaced.test_end_is_not_believed_of_another_process(
+            '/stream/x', 2
+        ),
+    ),
+    'streams go on at any process of a listed server': (
+        (instance_report.InstanceReport, 'compare', _always(_PROVED)),
+        lambda: versions.test_stream_does_not_go_on_at_an_unlisted_process(2),
+    ),
+    'streams begin at the listed version': (
+        (instance_report.InstanceReport, 'compare', _always(_PROVED)),
+        versions.test_stream_begun_at_an_unlisted_process_goes_on_there_only,
     ),
     'an empty answer ends a stream': (
         (
