Prove the end of answers of plain servers by a witness

Servers that never name a length and give no report of their start would no longer be believed at all: 502 for requests that must not be repeated. Change: after three such answers in a row, a second connection is opened and answered before a request is sent. If its process still answers after the request's connection has ended, the address has had no other process. Result: test_server_without_lengths_is_served_by_a_witness; the case with a replaced server fails if the witness is not asked again (mutant).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -262,11 +262,9 @@
         check = await self._context.end_checker.check(server, reason)
         doubt = check.value
         if check in _RUNNING:
-            proof = (await self._context.prover.check_server(server)).proof
+            proof = await self._prove_server(reason)
             if proof is instance_report.InstanceProof.PROVED:
                 return None
-            if proof is instance_report.InstanceProof.OTHER:
-                self._context.end_checker.record_replaced(server, reason)
             doubt = proof.value
         _LOG.info(
             'answer-end-doubted',
@@ -281,12 +279,32 @@
         )
         return results.Broken(f'{reason}, and {doubt}', True)
 
+    async def _prove_server(
+        self, reason: str
+    ) -> instance_report.InstanceProof:
+        """Return whether the process that began the answer serves on."""
+        server, prover = self._placed.view.server, self._context.prover
+        proof = (await prover.check_server(server)).proof
+        if proof is instance_report.InstanceProof.PROVED:
+            self._progress.end_proof = 'report of the instance'
+        elif proof is instance_report.InstanceProof.OTHER:
+            self._context.end_checker.record_replaced(server, reason)
+        elif self._progress.witness is not None and await prover.has_lived_on(
+            server, self._progress.witness
+        ):
+            self._progress.end_proof = (
+                'answers of the process before and after'
+            )
+            return instance_report.InstanceProof.PROVED
+        else:
+            prover.unframed.record_unproved_end(server.instance_key)
+        return proof
+
     def _record_end(self) -> None:
         """Record that the answer is whole, and what shows it."""
         self.is_complete = True
-        self._progress.end_proof = self._backend.framing.value
-        if self._backend.is_close_delimited:
-            self._progress.end_proof += ', report of the instance'
+        if not self._backend.is_close_delimited:
+            self._progress.end_proof = self._backend.framing.value
 
     def _record_first_part(self) -> None:
         self._context.record_first_part(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -158,6 +158,7 @@
             return result
         finally:
             placed.reservation.record_end(event, is_crash, is_rejected)
+            await progress.close_witness()
 
     def _fail_unplaced(
         self,
@@ -352,6 +353,8 @@
         is_link_cut: bool,
     ) -> None:
         server = placed.view.server
+        if backend.framing.is_shown_by_bytes:
+            self._context.prover.unframed.record_framed(server.instance_key)
         outcome = type(result).__name__.lower()
         self._context.metrics.attempts.labels(job.service, outcome).inc()
         fields = self._describe_attempt(job, server, progress, backend) | {
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -8,6 +8,7 @@
 
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.backends import unframed_servers
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
@@ -29,10 +30,13 @@
         Whether the listed instance answered.
     started_ms : int or None
         Start of the process that has the id, if it said so.
+    has_answered : bool
+        Whether the process has answered at all.
     """
 
     proof: instance_report.InstanceProof
     started_ms: int | None = None
+    has_answered: bool = False
 
 
 class InstanceProver:
@@ -51,6 +55,11 @@
         Format of the reports.
     metrics : RelayMetrics
         Counts the checks.
+
+    Attributes
+    ----------
+    unframed : UnframedServers
+        Servers whose requests need a witness.
     """
 
     def __init__(
@@ -63,6 +72,7 @@
         self._format = report_format
         self._metrics = metrics
         self._numbers = itertools.count(1)
+        self.unframed = unframed_servers.UnframedServers()
 
     async def check_connection(
         self,
@@ -94,6 +104,44 @@
                         await backend.aclose()
         return InstanceCheck(_Proof.NONE)
 
+    async def open_witness(
+        self, server: backend_server.BackendServer
+    ) -> backend_connection.BackendConnection | None:
+        """Open a connection whose process will show that it has lived on.
+
+        A process that answers on it before a request is sent and after the
+        request's connection has ended is the one that answered the request,
+        since the address had no other process meanwhile.
+        """
+        with trio.move_on_after(_SERVER_TIMEOUT_S):
+            stream = await self._dialer.connect(server)
+            if isinstance(stream, server_dialer.Unreachable):
+                return None
+            witness = backend_connection.BackendConnection(stream)
+            is_usable = False
+            try:
+                check = await self._ask(server, witness)
+                is_usable = (
+                    check.has_answered
+                    and check.proof is not _Proof.OTHER
+                    and witness.prepare_reuse()
+                )
+            finally:
+                if not is_usable:
+                    with trio.CancelScope(shield=True):
+                        await witness.aclose()
+            return witness if is_usable else None
+        return None
+
+    async def has_lived_on(
+        self,
+        server: backend_server.BackendServer,
+        witness: backend_connection.BackendConnection,
+    ) -> bool:
+        """Whether the process at the other end of a witness still answers."""
+        check = await self._ask(server, witness)
+        return check.has_answered and check.proof is not _Proof.OTHER
+
     async def _ask(
         self,
         server: backend_server.BackendServer,
@@ -126,5 +174,7 @@
         except errors.DECODE_ERRORS:
             report = None
         if report is None:
-            return InstanceCheck(_Proof.NONE)
-        return InstanceCheck(report.compare(server), report.started_ms)
+            return InstanceCheck(_Proof.NONE, has_answered=True)
+        return InstanceCheck(
+            report.compare(server), report.started_ms, has_answered=True
+        )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -3,10 +3,12 @@
 import dataclasses
 
 from foxtailrelay_core import messages
+import trio
 
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_version
 
@@ -44,6 +46,9 @@
     instance_check : InstanceCheck or None
         Why it is not certain which instance answers the current attempt of a
         resumable stream, if that is so.
+    witness : BackendConnection or None
+        A second connection of the current attempt to its server, which shows
+        whether the server's process has lived on.
     is_origin_recorded : bool
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
@@ -71,6 +76,7 @@
     sole_version: str = ''
     requirement: stream_version.VersionRequirement | None = None
     instance_check: instance_prover.InstanceCheck | None = None
+    witness: backend_connection.BackendConnection | None = None
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
     attempt_first_event_at_s: float | None = None
@@ -87,6 +93,13 @@
         """Whether another answer can take up what the caller has."""
         return self.position.is_certain
 
+    async def close_witness(self) -> None:
+        """Close the witness of the current attempt, if it has one."""
+        witness, self.witness = self.witness, None
+        if witness is not None:
+            with trio.CancelScope(shield=True):
+                await witness.aclose()
+
     def may_use(self, server: backend_server.BackendServer) -> bool:
         """Whether a server may get the request."""
         return self.requirement is None or self.requirement.allows(server)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -15,7 +15,6 @@
 _LOG = logbook.Logger('foxtailrelay.requests')
 _REPLACED = 'a new connection reached another instance'
 _Proof = instance_report.InstanceProof
-_OTHER_ID = instance_prover.InstanceCheck(_Proof.OTHER)
 
 
 class ServerConnector:
@@ -42,6 +41,8 @@
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Open a connection, or return why the server cannot be used."""
         progress.instance_check = None
+        if self._context.prover.unframed.needs_witness(server.instance_key):
+            progress.witness = await self._context.prover.open_witness(server)
         # A request that must not be retried needs a new connection, since the
         # server may have closed an idle one.
         backend = await self._acquire(
@@ -73,7 +74,7 @@
         check: instance_prover.InstanceCheck,
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Use the connection only for a stream that begins on it."""
-        has_other_id = check == _OTHER_ID
+        has_other_id = check.proof is _Proof.OTHER and check.started_ms is None
         is_usable = not (
             has_other_id or stream_versions.is_resumed(job, progress)
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -26,6 +26,11 @@
     CHUNKS = 'chunks'
     CONNECTION = 'end of the connection'
 
+    @property
+    def is_shown_by_bytes(self) -> bool:
+        """Whether bytes of the answer show its end."""
+        return self in (Framing.LENGTH, Framing.CHUNKS)
+
 
 class BackendConnectionError(Exception):
     """The connection failed, or the received bytes are not a valid answer."""
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -118,6 +118,7 @@
     def __init__(self, nursery):
         self.backend_by_host = {}
         self.started_ms_by_host = {}
+        self.scopes_by_host = {}
         self.connected_hosts = []
         self.closing_hosts = set()
         self._nursery = nursery
@@ -134,7 +135,9 @@
         reporting = reporting_stream.ReportingStream(
             far, self.started_ms_by_host.get(host)
         )
-        self._nursery.start_soon(reporting.serve, backend)
+        scope = trio.CancelScope()
+        self.scopes_by_host.setdefault(host, []).append(scope)
+        self._nursery.start_soon(reporting.serve, backend, scope)
         return near
 
 
@@ -308,6 +311,11 @@
             [topic_store.KeyedRecord(f's{index}', index, value)]
         )
 
+    def end_connections(self, host):
+        """End all connections of a server, as the end of its process does."""
+        for scope in self.dialer.scopes_by_host.pop(host, ()):
+            scope.cancel()
+
     def connect(self):
         """Open a caller's connection and return the caller."""
         return self.connect_with_connection()[0]
--- a/tests/common/reporting_stream.py
+++ b/tests/common/reporting_stream.py
@@ -31,10 +31,13 @@
         self._stream = stream
         self._has_other_input = False
 
-    async def serve(self, backend):
+    async def serve(self, backend, scope):
         """Run a backend, which may find a connection with reports only."""
         try:
-            await backend(self)
+            with scope:
+                await backend(self)
+            if scope.cancelled_caught:
+                await trio.aclose_forcefully(self._stream)
         except trio.BrokenResourceError:
             if self._has_other_input:
                 raise
--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -80,3 +80,39 @@
     answer = await _read_answer(rig, '/stream/x')
     assert not answer.is_whole
     assert trio.current_time() - started_s < 1.0
+
+
+def _end_plain(rig, is_replaced):
+    """Return a server that names no length and gives no report."""
+
+    async def serve(stream):
+        if not await relay_rig.read_request(stream):
+            return
+        await stream.send_all(_HEAD + b'whole')
+        if is_replaced():
+            rig.end_connections(_HOST)
+        await stream.aclose()
+
+    return serve
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x'])
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_server_without_lengths_is_served_by_a_witness(path, is_replaced):
+    """Guards against servers that can never prove the end of an answer."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        replaced = False
+        rig.add_server('plain', 1, _end_plain(rig, lambda: replaced))
+        rig.dialer.started_ms_by_host[_HOST] = None
+        for _ in range(5):
+            answer = await _read_answer(rig, path)
+            await trio.sleep(5.0)
+            rig.confirm_configuration(relay_rig.encode_configuration())
+        assert (answer.status, answer.body) == (200, b'whole')
+        replaced = is_replaced
+        answer = await _read_answer(rig, path)
+        assert (answer.status == 200) is not is_replaced
+
+    play()
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -164,6 +164,12 @@
             '/stream/x', 2
         ),
     ),
+    'a witness is not asked after the end': (
+        (instance_prover.InstanceProver, 'has_lived_on', _prove_anything),
+        lambda: replaced.test_server_without_lengths_is_served_by_a_witness(
+            '/once/x', True
+        ),
+    ),
     'streams go on at any process of a listed server': (
         (instance_report.InstanceReport, 'compare', _always(_PROVED)),
         lambda: versions.test_stream_does_not_go_on_at_an_unlisted_process(2),
