--- a/soak/production.py
+++ b/soak/production.py
@@ -8,7 +8,7 @@
 import typing
 
 # The last landing.
-LANDING = '0087bba'
+LANDING = 'be1dd2b'
 # What ``--production`` takes for the last landing.
 LANDING_NAME = 'landing'
 _PACKAGES = ('core', 'node')
