Let the soak replace servers in place and end all nodes at once

Servers' processes are followed by others at the same address, under the same id or a new one, of another version or service, before the list shows it; all nodes, or all but one, are killed, frozen or stopped together. Events name the process that wrote them, and each event is checked: its request, run, process and version over all attempts of a caller, and its service.

--- a/soak/answer_guarantees.py
+++ b/soak/answer_guarantees.py
@@ -4,6 +4,7 @@
 import re
 import typing
 
+from soak import event_sources
 from soak import recorded_connection
 from soak import request_record
 from standin import event_text
@@ -29,12 +30,15 @@
         that without any event.
     idless_ids : set
         Requests whose servers wrote events without ids.
+    sources : EventSources or None
+        Which processes wrote which events; None if events name none.
     """
 
     run_counts: collections.Counter[str]
     statuses_by_id: dict[str, set[int]]
     lied_ids: set[str]
     idless_ids: set[str]
+    sources: event_sources.EventSources | None = None
 
 
 class Violation(typing.NamedTuple):
@@ -147,7 +151,7 @@
         # The caller took the stream up, and one server answered in full that
         # nothing follows.
         return []
-    return _check_stream(record, record.request_id in engines.idless_ids)
+    return _check_stream(record, engines)
 
 
 def _check_bytes(
@@ -174,47 +178,67 @@
 
 
 def _check_stream(
-    record: request_record.RequestRecord, may_lack_ids: bool
+    record: request_record.RequestRecord, engines: EngineRecords
 ) -> list[str]:
     """Check that events are exactly those that follow, each once."""
+    wrong = _find_wrong_event(record, engines)
+    if wrong and engines.sources is not None:
+        wrong += f'; {engines.sources.describe_runs(record.request_id)}'
+    return [wrong] if wrong else []
+
+
+def _find_wrong_event(
+    record: request_record.RequestRecord, engines: EngineRecords
+) -> str:
     body = record.body
     number = record.event_count + 1
     start = 0
+    last = ''
     while match := _EVENT.match(body, start):
         if number > record.total_events or match.group() not in (
-            _expected_events(record, number, may_lack_ids)
+            _expected_events(record, number, engines)
         ):
-            return [f'in place of event {number}: {_shown(match.group())}']
+            return f'in place of event {number}: {_shown(match.group())}'
+        if engines.sources is not None:
+            last = engines.sources.describe_event(number, match.group(2))
         number += 1
         start = match.end()
     rest = body[start:]
     if rest and not any(
         event.startswith(rest)
-        for event in _expected_events(record, number, may_lack_ids)
+        for event in _expected_events(record, number, engines)
     ):
-        return [f'after event {number - 1}: {_shown(rest)}']
+        return f'after event {number - 1}: {_shown(rest)}'
     if record.is_complete and (rest or number <= record.total_events):
-        return [
+        return (
             f'complete after event {number - 1} of {record.total_events}'
             + (f' and {_shown(rest)}' if rest else '')
-        ]
-    return []
+            + (f', {last}' if last else '')
+        )
+    return ''
 
 
 def _expected_events(
-    record: request_record.RequestRecord, number: int, may_lack_ids: bool
+    record: request_record.RequestRecord,
+    number: int,
+    engines: EngineRecords,
 ) -> list[bytes]:
+    """Return an event as each server that ran the request may write it."""
     if number > record.total_events:
         return []
+    names: typing.Sequence[bytes] = _VERSIONS
+    if engines.sources is not None:
+        names = engines.sources.names_of(record.request_id)
+    may_lack_ids = record.request_id in engines.idless_ids
     return [
         event_text.encode_event(
             number,
             record.request_id.encode(),
-            version,
+            name,
             record.event_bytes,
             has_id,
         )
-        for version in _VERSIONS
+        for name in names
         for has_id in ((True, False) if may_lack_ids else (True,))
     ]
 
--- a/soak/delivery_guarantees.py
+++ b/soak/delivery_guarantees.py
@@ -77,9 +77,7 @@
 ) -> list[str]:
     """Check that requests passed on are answered before a close."""
     run_ids = {
-        run_id
-        for server in cluster.engine_by_id.values()
-        for run_id in server.run_ids
+        run_id for server in cluster.stand_ins for run_id in server.run_ids
     }
     lost = [
         record
@@ -108,9 +106,7 @@
     Streams are left out: their servers break them off as well.
     """
     run_ids = {
-        run_id
-        for server in cluster.engine_by_id.values()
-        for run_id in server.run_ids
+        run_id for server in cluster.stand_ins for run_id in server.run_ids
     }
     return [
         answer_guarantees.Violation.from_record(
@@ -165,14 +161,17 @@
     """Check bodies, targets and organisations that servers received."""
     record_by_id = {record.request_id: record for record in records}
     violations = []
-    for server_id, server in cluster.engine_by_id.items():
+    for server in cluster.stand_ins:
         for request_id, target, body, is_whole in server.bodies:
             record = record_by_id.get(request_id)
             if record is None:
                 continue
             wrong = check_request(record, target, body, is_whole)
             if wrong:
-                text = f'{server_id} got {record.path} {request_id} {wrong}'
+                text = (
+                    f'{server.server_id} got {record.path} {request_id} '
+                    f'{wrong}'
+                )
                 violations.append(
                     answer_guarantees.Violation.from_record(text, record)
                 )
--- /dev/null
+++ b/soak/event_sources.py
@@ -0,0 +1,96 @@
+"""Which processes of backend servers wrote which events."""
+
+import collections
+import typing
+
+from soak import server_process
+
+
+class Run(typing.NamedTuple):
+    """A run of a stream.
+
+    Parameters
+    ----------
+    process : ServerProcess
+        The process that ran it.
+    after : int
+        The event after which it was to begin; 0 for the beginning.
+    numbers : frozenset of int
+        The events that it wrote.
+    """
+
+    process: server_process.ServerProcess
+    after: int
+    numbers: frozenset[int]
+
+    def describe(self) -> str:
+        """Return the process and the events for messages."""
+        events = ', '.join(map(str, sorted(self.numbers))) or 'none'
+        return f'{self.process.describe()} after {self.after}: {events}'
+
+
+class EventSources:
+    """Finds the runs that may have written an event.
+
+    Parameters
+    ----------
+    processes : iterable of ServerProcess
+        All processes that have served.
+    """
+
+    def __init__(
+        self, processes: typing.Iterable[server_process.ServerProcess]
+    ) -> None:
+        self._runs_by_id: dict[str, list[Run]] = collections.defaultdict(list)
+        self._process_by_source: dict[bytes, server_process.ServerProcess] = {}
+        for process in processes:
+            source = process.stand_in.event_source
+            self._process_by_source[source] = process
+            for run in process.stand_in.stream_runs:
+                self._runs_by_id[run.request_id].append(
+                    Run(process, run.after, frozenset(run.numbers))
+                )
+
+    def names_of(self, request_id: str) -> list[bytes]:
+        """Return what the events of a request may name as their source."""
+        names = {
+            run.process.stand_in.event_source
+            for run in self._runs_by_id.get(request_id, [])
+        }
+        return sorted(names)
+
+    def find_runs(
+        self, request_id: str, number: int, text: bytes
+    ) -> list[Run]:
+        """Return the runs that may have written an event.
+
+        Parameters
+        ----------
+        request_id : str
+            The request that was answered.
+        number : int
+            Place of the event in its stream, from 1.
+        text : bytes
+            Text of the event; one byte names no source.
+        """
+        name = text.partition(b' ')[0] if len(text) > 1 else None
+        return [
+            run
+            for run in self._runs_by_id.get(request_id, [])
+            if number in run.numbers
+            and name in (None, run.process.stand_in.event_source)
+        ]
+
+    def describe_event(self, number: int, text: bytes) -> str:
+        """Return number, version and process of an event for messages."""
+        name = text.partition(b' ')[0]
+        process = self._process_by_source.get(name)
+        source = process.describe() if process else f'{name[:20]!r}'
+        return f'event {number} of {source}'
+
+    def describe_runs(self, request_id: str) -> str:
+        """Return all runs of a request for messages."""
+        runs = self._runs_by_id.get(request_id, [])
+        return f'runs of {request_id}: ' + (
+            '; '.join(run.describe() for run in runs) or 'none'
+        )
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -7,8 +7,10 @@
 
 import trio
 
+from soak import all_node_faults
 from soak import fault_proxy
 from soak import link_faults
+from soak import replacement_faults
 from soak import server_faults
 from soak import soak_cluster as soak_clusters
 from soak import stop_faults
@@ -53,7 +55,13 @@
         self._next_engine_number = 10
         self._links = link_faults.LinkFaults(cluster, rng, self.record)
         self._servers = server_faults.ServerFaults(cluster, rng, self.record)
+        self._replacements = replacement_faults.ReplacementFaults(
+            cluster, rng, self.record
+        )
         self.stops = stop_faults.StopFaults(cluster, rng, self.record)
+        self._all_nodes = all_node_faults.AllNodeFaults(
+            cluster, rng, self.record, self.stops
+        )
 
     async def run(self, servers: trio.Nursery, seconds: float) -> None:
         """Inject faults for some seconds and wait until the last one is over.
@@ -64,9 +72,16 @@
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as loops:
                     for kinds in (
-                        (*self._kinds(), *self.stops.kinds()),
+                        (
+                            *self._kinds(),
+                            *self.stops.kinds(),
+                            *self._all_nodes.kinds(),
+                        ),
                         self._links.kinds(),
-                        self._servers.kinds(),
+                        (
+                            *self._servers.kinds(),
+                            *self._replacements.kinds(),
+                        ),
                     ):
                         loops.start_soon(
                             self._start_faults, nursery, servers, kinds
--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -76,6 +76,10 @@
             link.end(with_reset)
         self._listener_scope.cancel()
 
+    def set_server(self, host: str, port: int) -> None:
+        """Set the address of the server for new connections."""
+        self._server_address = (host, port)
+
     def set_mode(self, mode: Mode) -> None:
         """Set the fault for new and open connections."""
         self.mode = mode
@@ -86,10 +90,14 @@
                 link.is_silent = True
 
     async def serve(
-        self, host: str, task_status=trio.TASK_STATUS_IGNORED
+        self, host: str, port: int = 0, task_status=trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Listen on a free port, and report the port when started."""
-        (listener,) = await trio.open_tcp_listeners(0, host=host)
+        """Listen, on a free port if it is 0, and report it when started.
+
+        A proxy that has ended may serve again.
+        """
+        (listener,) = await trio.open_tcp_listeners(port, host=host)
+        self._listener_scope = trio.CancelScope()
         if self._receive_buffer_bytes is not None:
             listener.socket.setsockopt(
                 socket.SOL_SOCKET,
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,6 +6,8 @@
 
 from soak import answer_guarantees
 from soak import delivery_guarantees
+from soak import event_guarantees
+from soak import event_sources
 from soak import recorded_connection
 from soak import request_record
 from soak import soak_cluster as soak_clusters
@@ -43,6 +45,8 @@
         for text in _check_request(record, runs[record.request_id])
     ]
     violations += answer_guarantees.find_violations(connections, engines)
+    violations += event_guarantees.find_violations(records, engines.sources)
+    violations += _check_services(cluster, records)
     violations += delivery_guarantees.find_violations(cluster, records)
     texts = [
         *_check_run_ids(runs, {record.request_id for record in records}),
@@ -65,7 +69,7 @@
 def _collect_engine_records(
     cluster: soak_clusters.SoakCluster,
 ) -> answer_guarantees.EngineRecords:
-    servers = list(cluster.engine_by_id.values())
+    servers = cluster.stand_ins
     statuses_by_id = collections.defaultdict(set)
     for server in servers:
         for request_id, status in server.statuses:
@@ -81,6 +85,7 @@
             if fault in (faults.RESUME_EMPTY, faults.RESUME_PLAIN)
         },
         {name for s in servers for name in s.idless_ids},
+        event_sources.EventSources(cluster.server_processes),
     )
 
 
@@ -100,6 +105,29 @@
     return violations
 
 
+def _check_services(
+    cluster: soak_clusters.SoakCluster,
+    records: typing.Sequence[request_record.RequestRecord],
+) -> list[answer_guarantees.Violation]:
+    """Check that requests run at servers of their route's service."""
+    record_by_id = {record.request_id: record for record in records}
+    violations = []
+    for process in cluster.server_processes:
+        for request_id in process.stand_in.run_ids:
+            record = record_by_id.get(request_id)
+            if record is None:
+                continue
+            if process.service != ('model' if record.is_stream else 'plain'):
+                violations.append(
+                    answer_guarantees.Violation.from_record(
+                        f'{record.path} {request_id} of {record.host} ran at '
+                        f'{process.describe()}',
+                        record,
+                    )
+                )
+    return violations
+
+
 def _check_run_ids(
     runs: collections.Counter[str], sent_ids: set[str]
 ) -> list[str]:
@@ -117,7 +145,7 @@
     """Check that parts are kept away from engines after five crashes."""
     record_by_id = {record.request_id: record for record in records}
     crashes_by_part = collections.defaultdict(list)
-    for server in cluster.engine_by_id.values():
+    for server in cluster.stand_ins:
         for part, request_id, at_s in server.crashes:
             if isinstance(part, bytes):
                 crashes_by_part[part].append((at_s, request_id))
@@ -146,7 +174,7 @@
     """Check that requests that crash servers are kept away from them."""
     record_by_id = {record.request_id: record for record in records}
     crashes_by_request = collections.defaultdict(list)
-    for server in cluster.engine_by_id.values():
+    for server in cluster.stand_ins:
         for cause, request_id, at_s in server.crashes:
             if isinstance(cause, tuple):
                 crashes_by_request[cause].append((at_s, request_id))
@@ -219,9 +247,9 @@
             until_s = following.at_s if following else math.inf
             times = [
                 at_s
-                for at_s, request_id in (
-                    cluster.engine_by_id[server_id].arrivals
-                )
+                for server in cluster.stand_ins
+                if server.server_id == server_id
+                for at_s, request_id in server.arrivals
                 if change.at_s + _CONTACT_S <= at_s < until_s
                 and cluster.is_in_touch(record_by_id[request_id].host, at_s)
             ]
@@ -316,8 +344,8 @@
 def _check_endless_answers(cluster: soak_clusters.SoakCluster) -> list[str]:
     """Check that nodes close connections with bytes that never end."""
     return [
-        f'a node read {sent} bytes without end from {server_id}'
-        for server_id, server in cluster.engine_by_id.items()
+        f'a node read {sent} bytes without end from {server.server_id}'
+        for server in cluster.stand_ins
         for sent in server.endless_bytes
         if sent > _MAX_ENDLESS_BYTES
     ]
--- a/soak/node_conditions.py
+++ b/soak/node_conditions.py
@@ -8,6 +8,10 @@
 from soak import soak_times
 
 _CONTACT_S = 3.0
+# A stream can be taken up after the end of so many nodes at the same time.
+_MAX_LOST_NODES = 2
+# Within this time after a SIGTERM a node has ended.
+_LOSS_S = 9.0
 # Callers learn of the end of a process a while after it.
 _END_SEEN_S = 0.3
 
@@ -26,6 +30,7 @@
         self.disruptions: list[soak_times.Disruption] = []
         self.node_cuts: list[soak_times.NodeCut] = []
         self.stops: list[soak_times.PlannedStop] = []
+        self._losses: list[soak_times.NodeLoss] = []
 
     def record_cut(self, host: str, is_cut: bool) -> None:
         """Record that a cut of a node from all servers begins or ends."""
@@ -46,6 +51,18 @@
             soak_times.Disruption(host, now_s, now_s + seconds)
         )
 
+    def record_loss(self, hosts: typing.Sequence[str]) -> None:
+        """Record that several nodes are ended at once."""
+        if len(hosts) > _MAX_LOST_NODES:
+            self._losses.append(soak_times.NodeLoss(time.monotonic()))
+
+    def were_origins_kept(self, from_s: float, until_s: float) -> bool:
+        """Whether no more than two nodes were ended at once in a time."""
+        return not any(
+            loss.at_s < until_s and loss.at_s + _LOSS_S > from_s
+            for loss in self._losses
+        )
+
     @contextlib.contextmanager
     def stopping(self, host: str) -> typing.Iterator[None]:
         """Record that a node is being stopped meanwhile."""
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -13,7 +13,9 @@
 from soak import loopback
 from soak import node_conditions
 from soak import node_processes
+from soak import process_change
 from soak import production
+from soak import server_process as server_processes
 from soak import soak_times
 from standin import cloud
 from standin import cut_dialer
@@ -57,6 +59,7 @@
         self.store = store.StoreStandIn()
         self.cloud = cloud.CloudStandIn()
         self.engine_by_id: dict[str, engine.EngineStandIn] = {}
+        self.server_processes: list[server_processes.ServerProcess] = []
         self.draining_since_by_id: dict[str, float] = {}
         self.proxy_by_host: dict[str, fault_proxy.FaultProxy] = {}
         self.proxy_by_engine: dict[str, fault_proxy.FaultProxy] = {}
@@ -79,12 +82,21 @@
         self._entry_by_id: dict[str, dict[str, typing.Any]] = {}
         self._has_key = True
         self._crash_count = 0
+        self._replace_count = 0
+        self._replacing_ids: set[str] = set()
+        self._last_started_ms = 0
+        self._process_by_id: dict[str, server_processes.ServerProcess] = {}
         self._address_by_engine: dict[str, str] = {}
         self._cut_by_host: dict[str, cut_dialer.Cut] = {}
         self._front_port_by_host: dict[str, int] = {}
         self._proxy_by_address: dict[str, str] = {}
         self.processes = node_processes.NodeProcesses(folder, builds)
 
+    @property
+    def stand_ins(self) -> list[engine.EngineStandIn]:
+        """All processes of backend servers, also those that have ended."""
+        return [process.stand_in for process in self.server_processes]
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the stand-ins and the nodes."""
         address, _ = await serving.serve(nursery, self.store, self.local_host)
@@ -148,57 +160,147 @@
         self, nursery: trio.Nursery, service: str, server_id: str
     ) -> None:
         """Start a backend server behind a proxy and list its address."""
+        process = await self._start_process(
+            nursery, service, server_id, self.version_by_service[service]
+        )
+        host, _, port = process.address.rpartition(':')
+        proxy = fault_proxy.FaultProxy(
+            host, int(port), _SERVER_LINK_BUFFER_BYTES
+        )
+        proxy_port = await nursery.start(proxy.serve, self.local_host)
+        self._set_proxy(server_id, proxy, f'{self.local_host}:{proxy_port}')
+        self._list_process(process)
+
+    async def _start_process(
+        self,
+        nursery: trio.Nursery,
+        service: str,
+        server_id: str,
+        version: str,
+    ) -> server_processes.ServerProcess:
+        """Start the process of a backend server."""
         stand_in = engine.EngineStandIn(server_id, 0.02, 12, 0.03)
-        self.engine_by_id[server_id] = stand_in
+        process = server_processes.ServerProcess(
+            len(self.server_processes) + 1, service, stand_in
+        )
         stand_in.crashing_parts = self.crashing_parts
         stand_in.crashing_requests = self.crashing_requests
-        stand_in.version = self.version_by_service[service]
-        self.serving_spans.append(
-            soak_times.ServingSpan(
-                server_id, stand_in.version, time.monotonic()
-            )
+        stand_in.version = version
+        stand_in.process_number = process.number
+        self._last_started_ms = max(
+            self._last_started_ms + 1, int(time.time() * 1000)
         )
-        address, scope = await serving.serve(
+        stand_in.started_ms = self._last_started_ms
+        stand_in.crash = lambda: self._crash_engine(nursery, process)
+        process.address, process.scope = await serving.serve(
             nursery, stand_in, self.local_host
         )
-        stand_in.crash = lambda: self._crash_engine(nursery, server_id, scope)
-        host, _, port = address.rpartition(':')
-        proxy = fault_proxy.FaultProxy(
-            host, int(port), _SERVER_LINK_BUFFER_BYTES
+        self.engine_by_id[server_id] = stand_in
+        self._process_by_id[server_id] = process
+        self.server_processes.append(process)
+        self.serving_spans.append(
+            soak_times.ServingSpan(server_id, version, time.monotonic())
         )
+        return process
+
+    def _set_proxy(
+        self, server_id: str, proxy: fault_proxy.FaultProxy, address: str
+    ) -> None:
         self.proxy_by_engine[server_id] = proxy
-        proxy_port = await nursery.start(proxy.serve, self.local_host)
-        self._address_by_engine[server_id] = f'{self.local_host}:{proxy_port}'
+        self._address_by_engine[server_id] = address
         for cut_host in self.hosts:
             self._write_cut(cut_host)
+
+    def _list_process(self, process: server_processes.ServerProcess) -> None:
+        """Write the entry of a new process, unless it has ended."""
+        if process.has_ended:
+            return
+        slots = {}
+        if process.stand_in.room is not None:
+            slots['slots'] = process.stand_in.room.slots_count
         entry = relay_rig.encode_server_entry(
-            service,
+            process.service,
             1,
-            address=self._address_by_engine[server_id],
-            version=stand_in.version,
+            address=self._address_by_engine[process.server_id],
+            version=process.version,
+            born=process.stand_in.started_ms,
+            **slots,
         )
-        self._entry_by_id[server_id] = json.loads(entry) | {'sequence': 0}
-        self._store_entry(server_id)
+        self._entry_by_id[process.server_id] = json.loads(entry) | {
+            'sequence': 0
+        }
+        self._store_entry(process.server_id)
+
+    async def replace_process(
+        self,
+        nursery: trio.Nursery,
+        old_id: str,
+        change: process_change.ProcessChange,
+    ) -> server_processes.ServerProcess:
+        """End a server's process; return the next one at its address."""
+        old = self._process_by_id[old_id]
+        self._replacing_ids.add(old_id)
+        proxy = self.proxy_by_engine[old_id]
+        address = self._address_by_engine[old_id]
+        old.scope.cancel()
+        self._end_span(old_id)
+        proxy.end(change.with_reset)
+        await trio.sleep(change.gap_s)
+        self._replace_count += 1
+        new_id = f'{change.service[0]}r{self._replace_count}'
+        if change.keeps_id:
+            new_id = old_id
+        process = await self._start_process(
+            nursery, change.service, new_id, change.version
+        )
+        process.stand_in.form = change.form
+        self._take_over_conditions(old, process)
+        host, _, port = process.address.rpartition(':')
+        proxy.set_server(host, int(port))
+        host, _, port = address.rpartition(':')
+        await nursery.start(proxy.serve, host, int(port))
+        self._set_proxy(new_id, proxy, address)
+        await trio.sleep(change.listed_after_s)
+        if not change.keeps_id and self._entry_by_id.pop(old_id, None):
+            self.store.put('keyed.servers', old_id, b'')
+        self._list_process(process)
+        self.draining_since_by_id.pop(new_id, None)
+        self._replacing_ids.discard(old_id)
+        return process
+
+    def _take_over_conditions(
+        self,
+        old: server_processes.ServerProcess,
+        new: server_processes.ServerProcess,
+    ) -> None:
+        """Let a new process have the room of its service, but no limit."""
+        room = old.stand_in.room
+        if room is not None and old.service == new.service:
+            new.stand_in.room = rooms.Room(
+                room.slots_count, room.waiting_count, room.brittle_per_s
+            )
+        if self.limit_changes_by_id.get(new.server_id):
+            self.set_limit(new.server_id, None)
 
     def _crash_engine(
         self,
         nursery: trio.Nursery,
-        server_id: str,
-        scope: trio.CancelScope,
+        process: server_processes.ServerProcess,
     ) -> None:
         """End a backend server's process; another one follows later."""
-        if scope.cancel_called:
+        if process.has_ended:
             return
-        room = self.engine_by_id[server_id].room
+        server_id = process.server_id
+        room = process.stand_in.room
         if room is not None and room.has_fallen():
             self.falls.append(
                 soak_times.Fall(
-                    'plain' if server_id[0] == 'p' else 'model',
+                    process.service,
                     time.monotonic(),
                     tuple(room.recently_rejected_ids()),
                 )
             )
-        scope.cancel()
+        process.scope.cancel()
         self._end_span(server_id)
         self.proxy_by_engine[server_id].end(
             with_reset=self._crash_count % 2 == 0
@@ -293,6 +395,17 @@
             and server_id in self._entry_by_id
         )
 
+    def is_replaceable(self, server_id: str) -> bool:
+        """Whether a server's process runs and is not being replaced."""
+        return (
+            server_id not in self._replacing_ids
+            and not self._process_by_id[server_id].has_ended
+        )
+
+    def replaceable_ids(self, service: str) -> list[str]:
+        """Return the ids of serving servers that are not being replaced."""
+        return list(filter(self.is_replaceable, self.serving_ids(service)))
+
     def drain_engine(self, server_id: str) -> None:
         """Set the state of a backend server in the server list to draining."""
         if server_id not in self._entry_by_id:
--- a/soak/soak_times.py
+++ b/soak/soak_times.py
@@ -58,3 +58,9 @@
     version: str
     from_s: float
     until_s: float = math.inf
+
+
+class NodeLoss(typing.NamedTuple):
+    """The end of more nodes at once than keep the origins of streams."""
+
+    at_s: float
--- a/soak/stop_faults.py
+++ b/soak/stop_faults.py
@@ -66,7 +66,7 @@
     async def _stop(self, nursery) -> None:
         host = self._choose_host()
         self._record(f'stop {host} (SIGTERM)')
-        await self._stop_node(host)
+        await self.stop_node(host)
 
     async def _stop_beside_callers(self, nursery) -> None:
         """Stop a node to which callers send requests until it has gone."""
@@ -106,10 +106,10 @@
                 self.late_callers.append(caller)
                 nursery.start_soon(caller.run)
             await trio.sleep(self._rng.uniform(0.1, 1.0))
-            await self._stop_node(host)
+            await self.stop_node(host)
             nursery.cancel_scope.cancel()
 
-    async def _stop_node(self, host: str) -> None:
+    async def stop_node(self, host: str) -> None:
         """Send SIGTERM, and SIGKILL after the grace; then start the node."""
         process = self._cluster.processes.process_by_host[host]
         with self._cluster.stopping(host):
--- a/soak/stream_guarantees.py
+++ b/soak/stream_guarantees.py
@@ -6,7 +6,7 @@
 from soak import request_record
 from soak import soak_cluster as soak_clusters
 
-_EVENT = re.compile(rb'id: (\d+)\ndata: (v\d+) \S+\n\n')
+_EVENT = re.compile(rb'id: (\d+)\ndata: (v\d+)(?:#\d+)? \S+\n\n')
 _MAX_MIXED = 2
 _MIN_RESUMED = 12
 _CONTACT_S = 3.0
@@ -34,6 +34,9 @@
         if record.resumed is not None
         and cluster.is_in_touch(record.host, record.sent_at_s)
         and _is_version_served(cluster, record)
+        and cluster.were_origins_kept(
+            record.resumed.sent_at_s, record.sent_at_s
+        )
     ]
     if len(resumed) >= _MIN_RESUMED and began:
         share, new_share = _mean(resumed), _mean(began)
