Don't believe answers of foxtailrelayd's servers that only a close ended

Seen by callers of foxtailrelayd: half of an answer, with 200 and the outcome "ran", if the server's process ended within an answer without a length and the next process (or another server) listened at the address. Half an answer of the log service ended the node.

Cause: the client connected once more and took a listening socket for the process that had begun the answer. Nothing in the protocol names a process.

Change: such an answer is "may have run": repeatable calls go to the next server, others are asked for by key and are "outcome-unknown" else. Answers of the log, the cloud and of engines' reports are JSON objects and show their end themselves.

--- a/packages/node/src/foxtailrelay_node/internal/clients/http_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_client.py
@@ -1,7 +1,9 @@
 """HTTP client that reports whether a failed request may have been sent."""
 
+import json
 import typing
 
+from foxtailrelay_core import errors
 from foxtailrelay_core import messages
 import httpcore
 import trio
@@ -11,11 +13,22 @@
 from foxtailrelay_node.internal.relay.http import strict_pool
 
 _SEND_STARTED = 'http11.send_request_headers.started'
+_OK = 200
 _KEEPALIVE_EXPIRY_S = 4.0
 _START_LINE_BYTES = 40
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
+class _UnprovenAnswer(typing.NamedTuple):
+    """An answer without a length, which its connection ended.
+
+    The end looks the same if the server's process was killed.
+    """
+
+    status: int
+    body: bytes
+
+
 class _SendTracker:
     """Tracks whether a byte of a request may have been sent."""
 
@@ -74,7 +87,53 @@
         headers: typing.Sequence[tuple[str, str]] = (),
         body: bytes = b'',
     ) -> http_outcomes.HttpOutcome:
-        """Make one call and return its complete answer or its failure."""
+        """Make one call and return its complete answer or its failure.
+
+        An answer without a length is not known to be complete.
+        """
+        outcome = await self._exchange(method, url, timeout_s, headers, body)
+        if isinstance(outcome, _UnprovenAnswer):
+            return http_outcomes.Unclear(
+                'the answer has no length, and its connection ended'
+            )
+        return outcome
+
+    async def call_json(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: bytes = b'',
+        json_statuses: typing.Collection[int] = (_OK,),
+    ) -> http_outcomes.JsonOutcome:
+        """Make one call whose answer is a JSON object at some statuses.
+
+        An object shows its own end, so that its answer needs no length.
+        """
+        outcome = await self._exchange(method, url, timeout_s, (), body)
+        if not isinstance(
+            outcome, (http_outcomes.HttpAnswer, _UnprovenAnswer)
+        ):
+            return outcome
+        if outcome.status not in json_statuses:
+            return http_outcomes.JsonAnswer(outcome.status, {})
+        try:
+            document = json.loads(outcome.body)
+        except errors.DECODE_ERRORS as error:
+            return http_outcomes.Unclear(f'the answer is no JSON: {error}')
+        if not isinstance(document, dict):
+            return http_outcomes.Unclear('the answer is no JSON object')
+        return http_outcomes.JsonAnswer(outcome.status, document)
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        headers: typing.Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> http_outcomes.HttpOutcome | _UnprovenAnswer:
+        """Send a request and read its answer."""
         send_tracker = _SendTracker()
         extensions = {
             'timeout': {'connect': min(self._connect_timeout_s, timeout_s)},
@@ -102,13 +161,6 @@
                     content = await self._read_body(response)
                 finally:
                     await response.aclose()
-                if _is_ended_by_connection(
-                    method, response
-                ) and not await _accepts_connections(url):
-                    return http_outcomes.Unclear(
-                        'the connection ended the answer, and the server '
-                        'accepts no other one'
-                    )
             except (httpcore.NetworkError, httpcore.TimeoutException) as error:
                 return send_tracker.build_failure(
                     f'{type(error).__name__}: {error}'
@@ -119,6 +171,8 @@
                 )
             if content is None:
                 return http_outcomes.Unclear('the answer is too long')
+            if _is_ended_by_connection(method, response):
+                return _UnprovenAnswer(response.status, content)
             return http_outcomes.HttpAnswer(
                 response.status, _decode_headers(response.headers), content
             )
@@ -152,21 +206,6 @@
     )
 
 
-async def _accepts_connections(url: str) -> bool:
-    """Whether a server still listens.
-
-    The kernel closes the connections of a process that has ended as if their
-    answers had ended.
-    """
-    host, _, port = url.split('/')[2].rpartition(':')
-    try:
-        stream = await trio.open_tcp_stream(host, int(port))
-    except OSError:
-        return False
-    await trio.aclose_forcefully(stream)
-    return True
-
-
 def _add_framing_headers(
     url: str, headers: typing.Sequence[tuple[str, str]], body: bytes
 ) -> list[tuple[bytes, bytes]]:
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_cloud_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_cloud_client.py
@@ -1,7 +1,5 @@
 """HTTP client for the cloud API."""
 
-import json
-
 from foxtailrelay_node.internal.clients import cloud_client
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
@@ -36,11 +34,11 @@
         return None if answer is None else answer['notices']
 
     async def _get(self, path: str, wait_s: float):
-        outcome = await self._client.call(
+        outcome = await self._client.call_json(
             'GET', f'{self._base_url}{path}', self._timeout_s + wait_s
         )
-        if not isinstance(outcome, http_outcomes.HttpAnswer):
+        if not isinstance(outcome, http_outcomes.JsonAnswer):
             return None
         if outcome.status != _OK:
             return None
-        return json.loads(outcome.body)
+        return outcome.document
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
@@ -196,13 +196,14 @@
         Returns False if the engine refused its fencing number.
         """
         body = {'fencing': fencing, 'action': action, 'argument': argument}
-        outcome = await self._client.call(
+        outcome = await self._client.call_json(
             'POST',
             _url(address, '/v1/orders'),
             self._connect_timeout_s,
-            body=json.dumps(body).encode(),
+            json.dumps(body).encode(),
+            json_statuses=(),
         )
-        if not isinstance(outcome, http_outcomes.HttpAnswer):
+        if not isinstance(outcome, http_outcomes.JsonAnswer):
             return None
         return outcome.status != _CONFLICT
 
@@ -210,11 +211,11 @@
         self, address: backend_client.BackendAddress, path: str
     ):
         """Return the parsed JSON answer of a GET request, or None."""
-        outcome = await self._client.call(
+        outcome = await self._client.call_json(
             'GET', _url(address, path), self._connect_timeout_s
         )
-        if not isinstance(outcome, http_outcomes.HttpAnswer):
+        if not isinstance(outcome, http_outcomes.JsonAnswer):
             return None
         if outcome.status != _OK:
             return None
-        return json.loads(outcome.body)
+        return outcome.document
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
@@ -1,7 +1,6 @@
 """HTTP client for the log service."""
 
 import base64
-import json
 
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
@@ -37,17 +36,16 @@
         self, stream: str, data: bytes
     ) -> log_outcomes.AppendOutcome:
         """Append one record to a stream."""
-        outcome = await self._client.call(
+        outcome = await self._client.call_json(
             'POST',
             f'{self._base_url}/streams/{stream}',
             self._timeout_s,
-            body=data,
+            data,
         )
         match outcome:
-            case http_outcomes.HttpAnswer(status=200):
-                answer = json.loads(outcome.body)
-                return log_outcomes.Appended(answer['offset'])
-            case http_outcomes.HttpAnswer():
+            case http_outcomes.JsonAnswer(status=200):
+                return log_outcomes.Appended(outcome.document['offset'])
+            case http_outcomes.JsonAnswer():
                 return log_outcomes.AppendRefused(f'status {outcome.status}')
             case http_outcomes.NotSent():
                 return log_outcomes.AppendRefused(outcome.cause)
@@ -65,12 +63,17 @@
             f'{self._base_url}/streams/{stream}?from={from_offset}'
             f'&limit={_MAX_RECORDS_PER_READ}&wait_s={wait_s}'
         )
-        outcome = await self._client.call('GET', url, self._timeout_s + wait_s)
-        if not isinstance(outcome, http_outcomes.HttpAnswer):
+        outcome = await self._client.call_json(
+            'GET',
+            url,
+            self._timeout_s + wait_s,
+            json_statuses=(_OK, _GONE),
+        )
+        if not isinstance(outcome, http_outcomes.JsonAnswer):
             return log_outcomes.ReadFailed(outcome.cause)
         if outcome.status not in (_OK, _GONE):
             return log_outcomes.ReadFailed(f'status {outcome.status}')
-        answer = json.loads(outcome.body)
+        answer = outcome.document
         if outcome.status == _GONE:
             return log_outcomes.Expired(answer['first_offset'])
         first = max(from_offset, answer['first_offset'])
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_outcomes.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of an HTTP call."""
 
 import dataclasses
+import typing
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,6 +23,22 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class JsonAnswer:
+    """A complete answer whose body is a JSON object.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    document : dict
+        The object; empty unless the status is one that was asked for.
+    """
+
+    status: int
+    document: dict[str, typing.Any]
+
+
 @dataclasses.dataclass(frozen=True)
 class NotSent:
     """No byte of the request was sent."""
@@ -37,3 +54,4 @@
 
 
 HttpOutcome = HttpAnswer | NotSent | Unclear
+JsonOutcome = JsonAnswer | NotSent | Unclear
