Don't end a node for an answer of another server at an address

Seen by callers of foxtailrelayd: their node ended with all requests under way, if a server other than the engine (or than the log or the cloud API) answered 200 at its address, for example with the JSON object {}.

Cause: who answers at the address was taken for the peer that is configured there, and the answer's fields were used unread.

Change: answers are parsed like all foreign records (record_fields). A malformed report counts as no report, an append's answer as unconfirmed, a page of the log as a failed read.

--- a/packages/node/src/foxtailrelay_node/internal/clients/http_cloud_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_cloud_client.py
@@ -1,10 +1,19 @@
 """HTTP client for the cloud API."""
 
+import math
+import typing
+
+from foxtailrelay_core import errors
+from foxtailrelay_core import record_fields
+import logbook
+
 from foxtailrelay_node.internal.clients import cloud_client
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
 
+_LOG = logbook.Logger('foxtailrelay.clients')
 _OK = 200
+_Item = typing.TypeVar('_Item')
 
 
 class HttpCloudClient(cloud_client.CloudClient):
@@ -20,7 +29,7 @@
     async def list_vms(self) -> list[cloud_client.VmRecord] | None:
         """Return the list of VMs, which may be outdated."""
         answer = await self._get('/vms', 0)
-        return None if answer is None else answer['vms']
+        return _parse_items(answer, 'vms', _parse_vm)
 
     async def read_notices(
         self, from_sequence: int, wait_s: float
@@ -31,9 +40,9 @@
         """
         path = f'/notices?from={from_sequence}&wait_s={wait_s}'
         answer = await self._get(path, wait_s)
-        return None if answer is None else answer['notices']
+        return _parse_items(answer, 'notices', _parse_notice)
 
-    async def _get(self, path: str, wait_s: float):
+    async def _get(self, path: str, wait_s: float) -> dict | None:
         outcome = await self._client.call_json(
             'GET', f'{self._base_url}{path}', self._timeout_s + wait_s
         )
@@ -42,3 +51,43 @@
         if outcome.status != _OK:
             return None
         return outcome.document
+
+
+def _parse_items(
+    answer: dict | None,
+    name: str,
+    parse: typing.Callable[[dict], _Item],
+) -> list[_Item] | None:
+    """Return the items of a list; None if it is no list of the cloud."""
+    if answer is None:
+        return None
+    try:
+        if not isinstance(answer[name], list):
+            raise TypeError(f'{name} is no list')
+        return [parse(item) for item in answer[name]]
+    except errors.DECODE_ERRORS as error:
+        _LOG.warning(
+            'the answer of the cloud API is malformed and not used: {}',
+            record_fields.describe(error),
+        )
+        return None
+
+
+def _parse_vm(item: dict) -> cloud_client.VmRecord:
+    return cloud_client.VmRecord(
+        id=record_fields.name(item['id'], 'id'),
+        zone=record_fields.name(item['zone'], 'zone'),
+        vm_class=record_fields.name(item['vm_class'], 'vm_class'),
+        price=record_fields.number(item['price'], 'price', 0.0, math.inf),
+        state=record_fields.name(item['state'], 'state'),
+    )
+
+
+def _parse_notice(item: dict) -> cloud_client.ReclaimNotice:
+    return cloud_client.ReclaimNotice(
+        sequence=record_fields.whole_number(item['sequence'], 'sequence'),
+        vm_id=record_fields.name(item['vm_id'], 'vm_id'),
+        seconds=record_fields.number(
+            item['seconds'], 'seconds', -math.inf, math.inf
+        ),
+    )
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
@@ -1,9 +1,14 @@
 """HTTP client for model engines, which stream server-sent events."""
 
 import json
+import math
+import typing
 
+from foxtailrelay_core import errors
 from foxtailrelay_core import messages
+from foxtailrelay_core import record_fields
 import httpcore
+import logbook
 import trio
 
 from foxtailrelay_node.internal.clients import backend_client
@@ -14,7 +19,10 @@
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.http import strict_pool
 
+_LOG = logbook.Logger('foxtailrelay.clients')
 _OK = 200
+_Report = typing.TypeVar('_Report')
+_MAX_HASH = (1 << 64) - 1
 _CONFLICT = 409
 _MAX_REPORT_BYTES = 4 << 20
 _MAX_EVENT_BYTES = 1 << 20
@@ -174,15 +182,16 @@
         self, address: backend_client.BackendAddress
     ) -> engine_outcomes.LoadReport | None:
         """Return the load report of an engine."""
-        return await self._get_json(address, '/v1/load')
+        document = await self._get_json(address, '/v1/load')
+        return _parse_report(document, address, _parse_load)
 
     async def read_cache_events(
         self, address: backend_client.BackendAddress, from_sequence: int
     ) -> list[engine_outcomes.CacheEvent] | None:
         """Return prefix cache events from a sequence number on."""
         path = f'/v1/cache-events?from={from_sequence}'
-        answer = await self._get_json(address, path)
-        return None if answer is None else answer['events']
+        document = await self._get_json(address, path)
+        return _parse_report(document, address, _parse_cache_events)
 
     async def send_order(
         self,
@@ -209,8 +218,8 @@
 
     async def _get_json(
         self, address: backend_client.BackendAddress, path: str
-    ):
-        """Return the parsed JSON answer of a GET request, or None."""
+    ) -> dict | None:
+        """Return the JSON object that answers a GET request, or None."""
         outcome = await self._client.call_json(
             'GET', _url(address, path), self._connect_timeout_s
         )
@@ -219,3 +228,53 @@
         if outcome.status != _OK:
             return None
         return outcome.document
+
+
+def _parse_report(
+    document: dict | None,
+    address: backend_client.BackendAddress,
+    parse: typing.Callable[[dict], _Report],
+) -> _Report | None:
+    """Return an engine's report; None if it is not one of an engine."""
+    if document is None:
+        return None
+    try:
+        return parse(document)
+    except errors.DECODE_ERRORS as error:
+        _LOG.warning(
+            'the report of engine {} at {}:{} is malformed and not used: {}',
+            *address,
+            record_fields.describe(error),
+        )
+        return None
+
+
+def _parse_load(document: dict) -> engine_outcomes.LoadReport:
+    return engine_outcomes.LoadReport(
+        queued_tokens=record_fields.whole_number(
+            document['queued_tokens'], 'queued_tokens'
+        ),
+        running=record_fields.whole_number(document['running'], 'running'),
+        slots=record_fields.whole_number(document['slots'], 'slots', low=1),
+        time_s=record_fields.number(
+            document['time_s'], 'time_s', -math.inf, math.inf
+        ),
+    )
+
+
+def _parse_cache_events(document: dict) -> list[engine_outcomes.CacheEvent]:
+    return [
+        engine_outcomes.CacheEvent(
+            sequence=record_fields.whole_number(item['sequence'], 'sequence'),
+            stored=_parse_blocks(item['stored'], 'stored'),
+            evicted=_parse_blocks(item['evicted'], 'evicted'),
+        )
+        for item in document['events']
+    ]
+
+
+def _parse_blocks(values: object, field: str) -> list[int]:
+    return [
+        record_fields.whole_number(value, field, high=_MAX_HASH)
+        for value in values
+    ]
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
@@ -2,6 +2,9 @@
 
 import base64
 
+from foxtailrelay_core import errors
+from foxtailrelay_core import record_fields
+
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
 from foxtailrelay_node.internal.clients import log_client
@@ -44,7 +47,7 @@
         )
         match outcome:
             case http_outcomes.JsonAnswer(status=200):
-                return log_outcomes.Appended(outcome.document['offset'])
+                return _parse_offset(outcome.document)
             case http_outcomes.JsonAnswer():
                 return log_outcomes.AppendRefused(f'status {outcome.status}')
             case http_outcomes.NotSent():
@@ -73,12 +76,45 @@
             return log_outcomes.ReadFailed(outcome.cause)
         if outcome.status not in (_OK, _GONE):
             return log_outcomes.ReadFailed(f'status {outcome.status}')
-        answer = outcome.document
-        if outcome.status == _GONE:
-            return log_outcomes.Expired(answer['first_offset'])
-        first = max(from_offset, answer['first_offset'])
-        records = tuple(
-            log_outcomes.LogRecord(first + index, base64.b64decode(data))
-            for index, data in enumerate(answer['records'])
+        try:
+            return _parse_page(outcome, from_offset)
+        except errors.DECODE_ERRORS as error:
+            return log_outcomes.ReadFailed(record_fields.describe(error))
+
+
+def _parse_offset(document: dict) -> log_outcomes.AppendOutcome:
+    """Return the outcome of an append that was answered."""
+    try:
+        offset = record_fields.whole_number(document['offset'], 'offset')
+    except errors.DECODE_ERRORS as error:
+        return log_outcomes.AppendUnconfirmed(record_fields.describe(error))
+    return log_outcomes.Appended(offset)
+
+
+def _parse_page(
+    answer: http_outcomes.JsonAnswer, from_offset: int
+) -> log_outcomes.ReadOutcome:
+    """Return the records of an answer.
+
+    Raises
+    ------
+    errors.DECODE_ERRORS
+        If it is no answer of a log service.
+    """
+    document = answer.document
+    first_offset = record_fields.whole_number(
+        document['first_offset'], 'first_offset'
+    )
+    if answer.status == _GONE:
+        return log_outcomes.Expired(first_offset)
+    first = max(from_offset, first_offset)
+    records = tuple(
+        log_outcomes.LogRecord(
+            first + index, base64.b64decode(data, validate=True)
         )
-        return log_outcomes.Page(records, answer['next_offset'])
+        for index, data in enumerate(document['records'])
+    )
+    next_offset = record_fields.whole_number(
+        document['next_offset'], 'next_offset'
+    )
+    return log_outcomes.Page(records, next_offset)
