Tell an engine the text so far also if it is back under its name

Seen by callers of foxtailrelayd: a stream whose engine was replaced in place went on with events of another answer (other words at temperatures above 0). And a stream that a caller had taken up at this node was begun at another engine with the middle of its text as the beginning.

Cause: an engine of the same name was taken for the process that holds the answer, so it was not told the text; and the text that this node has seen was taken for all of it.

Change: each engine is told the text so far, which one that holds the answer ignores (platform.md); no text is told if its beginning is missing.

Open: of a stream that a caller takes up, no node has the text, and nothing in the protocol proves that the engine still holds the answer.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -79,7 +79,12 @@
         return bool(self.events)
 
     def partial_answer(self) -> str:
-        """Return the text received so far, which another engine continues."""
+        """Return the text so far, for engines that do not hold the answer.
+
+        It is empty if this node has not received the text's beginning.
+        """
+        if not self.is_from_start:
+            return ''
         parts = []
         for data in self.events:
             delta = json.loads(data)['choices'][0]['delta']
@@ -259,12 +264,12 @@
         job = progress.job
         engine = estimate.engine
         same_engine = engine.name == progress.last_engine
-        partial = '' if same_engine else progress.partial_answer()
         self._record_attempt(progress, estimate, same_engine)
         priority = _BATCH_PRIORITY if job.is_batch else _INTERACTIVE_PRIORITY
         request = engine_outcomes.EngineRequest(
             job.request_id,
-            job.chat.engine_body(partial),
+            # The process that began the answer may have been replaced.
+            job.chat.engine_body(progress.partial_answer()),
             priority,
             progress.number,
         )
