Don't go on with a stream of foxtailrelayd in another answer

Seen by callers of foxtailrelayd: a stream that went on with the third event of another answer ("abz" for "abc") and ended as whole, after its engine was back under its name and began at its first event.

Cause: events with numbers that the caller had were skipped unread, as if an engine at the address could only repeat the same answer.

Change: an answer that does not go on at the next number is broken, and the stream is resumed elsewhere. Only the last event may be repeated, with the same bytes, as engines do that are asked at their end.

Before: the test failed at a real node ('abz', whole); now it passes.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -78,6 +78,12 @@
         """Whether events have been received, so that the stream can resume."""
         return bool(self.events)
 
+    def is_repetition(self, event: engine_outcomes.StreamEvent) -> bool:
+        """Whether an engine repeats the last event, as it may at the end."""
+        return event.number == self.number and (
+            not self.events or event.data == self.events[-1]
+        )
+
     def partial_answer(self) -> str:
         """Return the text so far, for engines that do not hold the answer.
 
@@ -310,10 +316,12 @@
             if not isinstance(item, engine_outcomes.StreamEvent):
                 return item
             queued.clear()
-            if item.number <= progress.number:
+            if progress.is_repetition(item):
                 continue
             if item.number != progress.number + 1:
-                return engine_outcomes.StreamBroken('an event is missing')
+                return engine_outcomes.StreamBroken(
+                    f'event {item.number} follows event {progress.number}'
+                )
             progress.number = item.number
             progress.events.append(item.data)
             progress.last_event_s = trio.current_time()
--- a/tests/cover/test_engine_stream_endings.py
+++ b/tests/cover/test_engine_stream_endings.py
@@ -204,6 +204,14 @@
     assert engines.partial_answers() == [None, None]
 
 
+def test_another_answer_from_its_start_does_not_go_on_with_a_stream(engines):
+    other = _play((1, 'x'), (2, 'y'), (3, 'z', 'stop'), end=_DONE)
+    response = engines.call(
+        [_play((1, 'a'), (2, 'b')), other, _play(_LAST, end=_DONE)]
+    )
+    assert _read(response) == ('abc', True)
+
+
 def test_stream_with_a_missing_event_is_not_whole(engines):
     response = engines.call(
         [
