Break streams of engines whose events have no number

Seen by callers of foxtailrelayd: an answer without its first event, and whole ("bc" for "abc"), if an engine sent that event without an id; 500 if the id was no number.

Cause: a missing id was read as 0, which counted as a repeated event.

Change: an event needs a number of 1 to 18 digits, else the stream is broken and resumed.

--- a/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 import typing
 
 from foxtailrelay_core import errors
@@ -26,6 +27,7 @@
 _CONFLICT = 409
 _MAX_REPORT_BYTES = 4 << 20
 _MAX_EVENT_BYTES = 1 << 20
+_NUMBER = re.compile(rb'[1-9]\d{0,17}')
 _END_OF_STREAM = b'[DONE]'
 
 
@@ -73,11 +75,11 @@
         self, event_text: bytes
     ) -> engine_outcomes.StreamItem | None:
         """Parse one event; None for a keep-alive comment."""
-        number = 0
+        number_text = b''
         data = b''
         for line in event_text.split(b'\n'):
             if line.startswith(b'id: '):
-                number = int(line[4:])
+                number_text = line[4:]
             elif line.startswith(b'data: '):
                 data = line[6:]
         if not data:
@@ -88,7 +90,9 @@
             return engine_outcomes.StreamBroken(
                 'event belongs to another request'
             )
-        return engine_outcomes.StreamEvent(number, data)
+        if not _NUMBER.fullmatch(number_text):
+            return engine_outcomes.StreamBroken('event has no number')
+        return engine_outcomes.StreamEvent(int(number_text), data)
 
     async def aclose(self) -> None:
         """Close the stream's connection."""
--- a/tests/cover/test_engine_stream_endings.py
+++ b/tests/cover/test_engine_stream_endings.py
@@ -110,7 +110,10 @@
     with (
         start('engine-1') as first,
         start('engine-2') as second,
-        local.LocalCluster(tmp_path_factory.mktemp('cluster')) as cluster,
+        local.LocalCluster(
+            tmp_path_factory.mktemp('cluster'),
+            {'routing': {'retry_budget_ratio': 1.0}},
+        ) as cluster,
     ):
         cluster.start_standin('log', 'log')
         cluster.start_standin('cloud', 'cloud')
@@ -140,7 +143,7 @@
             {'delta': {'content': text}, 'finish_reason': finish_reason}
         ],
     }
-    line = b'' if number is None else b'id: %d\n' % number
+    line = b'' if number is None else b'id: %b\n' % str(number).encode()
     return line + b'data: ' + json.dumps(fields).encode() + b'\n\n'
 
 
@@ -212,6 +215,17 @@
     assert _read(response) == ('abc', True)
 
 
+@pytest.mark.parametrize('number', [None, 0, 'x'])
+def test_stream_with_an_event_without_a_number_is_not_whole(engines, number):
+    response = engines.call(
+        [
+            _play((number, 'a'), (1, 'b'), (2, 'c', 'stop'), end=_DONE),
+            _play((1, 'a'), (2, 'b'), _LAST, end=_DONE),
+        ]
+    )
+    assert _read(response) == ('abc', True)
+
+
 def test_stream_with_a_missing_event_is_not_whole(engines):
     response = engines.call(
         [
