Answer callers of foxtailrelayd that take a stream up at its end

Seen by callers: 500 for a stream that was whole but for its [DONE], when they took it up after the last event. Also 500 where an engine ended a new stream without any event.

Cause: an answer was taken to have an event in this node's sight; its latencies were computed from the last one, and [DONE] was sent without a head.

Change: an end without further events is the end of a stream that is taken up, and breaks one that has not begun, which is sent again.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -144,7 +144,7 @@
                 'the deadline passed before the answer was complete',
                 outcome=_outcome_of(progress),
             )
-        if failure is None:
+        if failure is None and progress.has_events:
             self._record_complete_answer(progress)
         return failure
 
@@ -313,6 +313,10 @@
         """Send a stream's events to the sink, each once and without gaps."""
         while True:
             item = await stream.next_item()
+            if isinstance(item, engine_outcomes.StreamEnd) and (
+                progress.number == 0
+            ):
+                return engine_outcomes.StreamBroken('no event before [DONE]')
             if not isinstance(item, engine_outcomes.StreamEvent):
                 return item
             queued.clear()
--- a/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
@@ -79,6 +79,8 @@
         event has been sent yet.
         """
         if self.failure is None:
+            if not self._has_started:
+                await self._start()
             await self._send_body(b'data: [DONE]\n\n')
         elif not self._has_started:
             answer = caller_answer.CallerAnswer.from_failure(
--- a/tests/cover/test_engine_stream_endings.py
+++ b/tests/cover/test_engine_stream_endings.py
@@ -234,3 +234,17 @@
         ]
     )
     assert _read(response) == ('abc', True)
+
+
+@pytest.mark.parametrize('events', [[], [_LAST]])
+def test_stream_that_is_taken_up_at_its_end_is_whole(engines, events):
+    script = _play(*events, end=_DONE)
+    response = engines.call([script], 'workshop.0a/engine-1/3')
+    assert response.status == 200
+    assert _read(response) == ('', True)
+
+
+def test_stream_that_ends_before_its_first_event_is_not_whole(engines):
+    whole = _play((1, 'a'), (2, 'b'), _LAST, end=_DONE)
+    response = engines.call([_play(end=_DONE), whole])
+    assert _read(response) == ('abc', True)
