--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -78,8 +78,19 @@
         """Whether events have been received, so that the stream can resume."""
         return bool(self.events)
 
+    def is_repetition(self, event: engine_outcomes.StreamEvent) -> bool:
+        """Whether an engine repeats the last event, as it may at the end."""
+        return event.number == self.number and (
+            not self.events or event.data == self.events[-1]
+        )
+
     def partial_answer(self) -> str:
-        """Return the text received so far, which another engine continues."""
+        """Return the text so far, for engines that do not hold the answer.
+
+        It is empty if this node has not received the text's beginning.
+        """
+        if not self.is_from_start:
+            return ''
         parts = []
         for data in self.events:
             delta = json.loads(data)['choices'][0]['delta']
@@ -133,7 +144,7 @@
                 'the deadline passed before the answer was complete',
                 outcome=_outcome_of(progress),
             )
-        if failure is None:
+        if failure is None and progress.has_events:
             self._record_complete_answer(progress)
         return failure
 
@@ -259,12 +270,12 @@
         job = progress.job
         engine = estimate.engine
         same_engine = engine.name == progress.last_engine
-        partial = '' if same_engine else progress.partial_answer()
         self._record_attempt(progress, estimate, same_engine)
         priority = _BATCH_PRIORITY if job.is_batch else _INTERACTIVE_PRIORITY
         request = engine_outcomes.EngineRequest(
             job.request_id,
-            job.chat.engine_body(partial),
+            # The process that began the answer may have been replaced.
+            job.chat.engine_body(progress.partial_answer()),
             priority,
             progress.number,
         )
@@ -302,13 +313,19 @@
         """Send a stream's events to the sink, each once and without gaps."""
         while True:
             item = await stream.next_item()
+            if isinstance(item, engine_outcomes.StreamEnd) and (
+                progress.number == 0
+            ):
+                return engine_outcomes.StreamBroken('no event before [DONE]')
             if not isinstance(item, engine_outcomes.StreamEvent):
                 return item
             queued.clear()
-            if item.number <= progress.number:
+            if progress.is_repetition(item):
                 continue
             if item.number != progress.number + 1:
-                return engine_outcomes.StreamBroken('an event is missing')
+                return engine_outcomes.StreamBroken(
+                    f'event {item.number} follows event {progress.number}'
+                )
             progress.number = item.number
             progress.events.append(item.data)
             progress.last_event_s = trio.current_time()
