Close a connection whose caller leaves before its report

Cause: a cancelled check left the connection open until it was collected. Result: test_connection_is_closed_if_its_caller_leaves_before_a_report fails without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -1,6 +1,7 @@
 """Opens the connections of attempts, to proved instances if needed."""
 
 import logbook
+import trio
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import instance_prover
@@ -55,7 +56,7 @@
             return backend
         if backend.is_instance_proved:
             return backend
-        check = await self._context.prover.check_connection(server, backend)
+        check = await self._check(server, backend)
         if check.proof is _Proof.PROVED:
             if backend.prepare_reuse():
                 return backend
@@ -65,6 +66,19 @@
             job, server, progress, backend, check
         )
 
+    async def _check(
+        self,
+        server: backend_server.BackendServer,
+        backend: backend_connection.BackendConnection,
+    ) -> instance_prover.InstanceCheck:
+        """Check a connection; close it if the request ends meanwhile."""
+        try:
+            return await self._context.prover.check_connection(server, backend)
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await backend.aclose()
+            raise
+
     async def _handle_unproved(
         self,
         job: jobs.Job,
--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -116,3 +116,25 @@
         assert (answer.status == 200) is not is_replaced
 
     play()
+
+
+@relay_rig.with_rig
+async def test_connection_is_closed_if_its_caller_leaves_before_a_report(rig):
+    """Guards against connections that stay open while a server is silent."""
+    closed = trio.Event()
+
+    async def serve(stream):
+        # Reads no request, so that no report is sent.
+        await trio.sleep(0.1)
+        if not await stream._stream.receive_some():
+            closed.set()
+        await stream._stream.receive_some()
+        closed.set()
+
+    rig.add_server('model', 1, serve)
+    caller = rig.connect()
+    await caller.send('/resume/x', *_PROMPT)
+    await trio.sleep(0.05)
+    await caller.stream.aclose()
+    with trio.fail_after(0.2):
+        await closed.wait()
