Do not take a sole listed version for that of an unlisted process

Callers saw events of two versions in one stream if they took it up without its first id (or with one that no node knew) while the list lagged: the stream had begun at the next process of a server, which no list showed, and its origin said so, but the only listed version was used without asking for it. Cause: the list of servers was taken for the processes that had served. Change: before a sole version is used, this node and the holders are asked for streams of equal requests; one of another, unknown or uncertain version contradicts it.

--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -18,6 +18,7 @@
 _HOLDER_COUNT = 3
 _QUERY_TIMEOUT_S = 0.2
 _MAX_ORIGINS = 20_000
+_MAX_FOUND = 4
 
 _Key = tuple[str, str, str]
 
@@ -59,6 +60,7 @@
         self._kept_by_key: collections.OrderedDict[_Key, _Kept] = (
             collections.OrderedDict()
         )
+        self._keys_by_request: dict[tuple[str, str], dict[_Key, None]] = {}
 
     def record(self, origin: messages.StreamOrigin) -> None:
         """Keep the origin of a stream here and at its holders."""
@@ -72,6 +74,11 @@
         key = (origin.service, origin.request_id, origin.fingerprint)
         self._kept_by_key[key] = _Kept(origin, now_s + origin.keep_ms / 1000)
         self._kept_by_key.move_to_end(key)
+        keys = self._keys_by_request.setdefault(
+            (origin.service, origin.fingerprint), {}
+        )
+        keys.pop(key, None)
+        keys[key] = None
         while self._kept_by_key:
             oldest_key, oldest = next(iter(self._kept_by_key.items()))
             if (
@@ -80,24 +87,60 @@
             ):
                 return
             del self._kept_by_key[oldest_key]
+            self._forget_request(oldest_key)
 
     def handle_query(
         self, query: messages.StreamQuery
     ) -> messages.StreamFound:
-        """Answer a peer."""
-        origin = self._find_here(query)
+        """Answer a peer.
+
+        A query without a request id is answered with the newest streams of
+        equal requests.
+        """
+        if query.request_id:
+            origin = self._find_here(query)
+            origins = (origin,) if origin else ()
+        else:
+            origins = self._find_equal(query)
         return messages.StreamFound(
-            (origin,) if origin else (),
+            origins,
             self._servers.sole_version(query.service, query.window_ms / 1000),
         )
 
     async def find(self, query: messages.StreamQuery) -> messages.StreamFound:
-        """Return what this node or another one has recorded of a stream."""
-        own = self.handle_query(query)
-        if own.origins or (own.sole_version and not query.request_id):
-            return own
-        found: list[messages.StreamOrigin] = []
-        sole_versions: set[str] = set()
+        """Return what this node or another one has recorded of a stream.
+
+        The lists may not show yet that a version serves.  A sole version is
+        therefore none if an equal request was answered by another one.
+        """
+        sole_version = ''
+        if query.request_id:
+            own = self.handle_query(query)
+            answers = [own]
+            if not own.origins:
+                answers += await self._query_peers(query)
+            for answer in answers:
+                if answer.origins:
+                    return own._replace(origins=answer.origins[:1])
+            sole_version = _find_sole(answers)
+            if not sole_version:
+                return messages.StreamFound((), '')
+        query = query._replace(request_id='')
+        answers = [self.handle_query(query), *await self._query_peers(query)]
+        sole_version = sole_version or _find_sole(answers)
+        is_contradicted = any(
+            not origin.is_certain or origin.version != sole_version
+            for answer in answers
+            for origin in answer.origins
+        )
+        return messages.StreamFound(
+            (), '' if is_contradicted else sole_version
+        )
+
+    async def _query_peers(
+        self, query: messages.StreamQuery
+    ) -> list[messages.StreamFound]:
+        answers: list[messages.StreamFound] = []
         addresses = self._holders(query.service)
         # In a small cluster all peers are queried: the node that relayed the
         # stream may have lost only its caller.
@@ -109,20 +152,37 @@
                 address, query, _QUERY_TIMEOUT_S
             )
             if isinstance(answer, messages.StreamFound):
-                found.extend(answer.origins)
-                sole_versions.add(answer.sole_version)
-                if found:
+                answers.append(answer)
+                if query.request_id and answer.origins:
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
                 nursery.start_soon(query_peer, address)
-        sole_versions.discard('')
-        if len(sole_versions) == 1:
-            own = own._replace(
-                sole_version=own.sole_version or sole_versions.pop()
-            )
-        return own._replace(origins=tuple(found[:1]))
+        return answers
+
+    def _find_equal(
+        self, query: messages.StreamQuery
+    ) -> tuple[messages.StreamOrigin, ...]:
+        """Return streams of equal requests, one of each version."""
+        keys = self._keys_by_request.get((query.service, query.fingerprint))
+        now_s = self._clock.boot_s()
+        found: dict[tuple[str, bool], messages.StreamOrigin] = {}
+        for key in reversed(keys or {}):
+            kept = self._kept_by_key[key]
+            if kept.until_s >= now_s:
+                origin = kept.origin
+                found.setdefault((origin.version, origin.is_certain), origin)
+            if len(found) == _MAX_FOUND:
+                break
+        return tuple(found.values())
+
+    def _forget_request(self, key: _Key) -> None:
+        service, _, fingerprint = key
+        keys = self._keys_by_request[service, fingerprint]
+        del keys[key]
+        if not keys:
+            del self._keys_by_request[service, fingerprint]
 
     def _find_here(
         self, query: messages.StreamQuery
@@ -147,3 +207,12 @@
             address_book.PeerAddress(peer.report.host, peer.report.peer_port)
             for peer in peers
         ]
+
+
+def _find_sole(answers: typing.Sequence[messages.StreamFound]) -> str:
+    """Return this node's sole version, else the one that its peers name."""
+    own, *others = answers
+    versions = {answer.sole_version for answer in others} - {''}
+    if own.sole_version:
+        return own.sole_version
+    return versions.pop() if len(versions) == 1 else ''
--- /dev/null
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -0,0 +1,78 @@
+"""What follows from a process that the server list does not show."""
+
+from foxtailrelay_core import messages
+import pytest
+import trio
+
+from common import origin_network
+from common import relay_rig
+from common import virtual_time
+
+_HOST = '10.0.0.1'
+_TOKENS = 'Token-Counts: 100,20'
+
+
+def _stream(first, last, requests, is_cut=False):
+    events = b''.join(
+        relay_rig.encode_chunk(relay_rig.encode_event(number))
+        for number in range(first, last + 1)
+    )
+
+    async def serve(stream):
+        while request := await relay_rig.read_request(stream):
+            requests.append(request)
+            await stream.send_all(relay_rig.stream_head() + events)
+            if is_cut:
+                await stream.aclose()
+                return
+            await stream.send_all(relay_rig.LAST_CHUNK)
+
+    return serve
+
+
+@pytest.mark.parametrize('named', [(), ('Resumes: never-sent',)])
+def test_sole_listed_version_is_not_that_of_an_unlisted_process(named):
+    """Guards against joins while the list lags and the origin is unnamed."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        requests = []
+        rig.add_server('model', 1, _stream(1, 2, [], is_cut=True))
+        await trio.sleep(6.1)
+        rig.confirm_configuration(relay_rig.encode_configuration(8))
+        rig.dialer.started_ms_by_host[_HOST] = 2
+        caller = rig.connect()
+        await caller.send('/resume/x', _TOKENS)
+        assert b'id: 2' in await caller.receive()
+        rig.add_server('model', 2, _stream(3, 4, requests))
+        caller = rig.connect()
+        await caller.send('/resume/x', _TOKENS, 'Last-Event-Id: 2', *named)
+        assert relay_rig.status_code(await caller.receive()) == 503
+        assert requests == []
+
+    play()
+
+
+@pytest.mark.parametrize(
+    'version, is_certain, sole_version',
+    [('v1', True, 'v1'), ('v2', True, ''), ('', True, ''), ('v1', False, '')],
+)
+@pytest.mark.parametrize('request_id', ['', 'never-sent'])
+def test_node_with_a_sole_version_asks_for_streams_of_other_ones(
+    request_id, version, is_certain, sole_version
+):
+    async def main():
+        network = origin_network.OriginNetwork(195)
+        network.lists[0].sole = 'v1'
+        network.nodes[1].record(
+            messages.StreamOrigin(
+                'r1', 'model', version, 's1', 2, 'f', is_certain, 30_000
+            )
+        )
+        network.fail(1)
+        found = await network.find(0, request_id)
+        assert found == messages.StreamFound((), sole_version)
+        found = await network.find(0, request_id, fingerprint='other')
+        assert found == messages.StreamFound((), 'v1')
+
+    virtual_time.run(main)
