Ask a server again that resets the connection for its report

Callers saw whole answers without a length as broken while their server had no free connection: such a server accepts a connection and resets it, and one reset counted as no report. The attempt then failed, 502 where the route allows no repeat, and spent the retry budget at a server that is full. Change: a report that ends with its connection is asked for once more, within the same time, as the check of the address already does.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -16,6 +16,9 @@
 _REPORT_TIMEOUT_S = 0.25
 # Includes a connection through another node.
 _SERVER_TIMEOUT_S = 0.6
+# A full server resets connections that it has accepted.
+_MAX_CONNECTIONS = 2
+_RECONNECT_DELAY_S = 0.03
 _MAX_REPORT_BYTES = 1 << 20
 _Proof = instance_report.InstanceProof
 
@@ -84,14 +87,20 @@
     ) -> InstanceCheck:
         """Find out whether the listed instance serves new connections."""
         with trio.move_on_after(_SERVER_TIMEOUT_S):
-            stream = await self._dialer.connect(server)
-            if not isinstance(stream, server_dialer.Unreachable):
+            for number in range(_MAX_CONNECTIONS):
+                if number:
+                    await trio.sleep(_RECONNECT_DELAY_S)
+                stream = await self._dialer.connect(server)
+                if isinstance(stream, server_dialer.Unreachable):
+                    break
                 backend = backend_connection.BackendConnection(stream)
                 try:
-                    return await self.check_connection(server, backend)
+                    check = await self.check_connection(server, backend)
                 finally:
                     with trio.CancelScope(shield=True):
                         await backend.aclose()
+                if check.proof is not _Proof.LOST:
+                    return check
         return InstanceCheck(_Proof.NONE)
 
     async def _ask(
@@ -115,6 +124,8 @@
                     body += part
                     if len(body) > _MAX_REPORT_BYTES:
                         return InstanceCheck(_Proof.NONE)
+        except backend_connection.BackendDisconnected:
+            return InstanceCheck(_Proof.LOST)
         except backend_connection.BackendConnectionError:
             return InstanceCheck(_Proof.NONE)
         if scope.cancelled_caught:
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/instance_report.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/instance_report.py
@@ -13,6 +13,7 @@
     PROVED = 'the listed instance reports its start'
     OTHER = 'another instance answers at its address'
     NONE = 'no report shows which instance answers'
+    LOST = 'the connection ended before a report'
 
 
 class ReportRequest(typing.NamedTuple):
--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from trio import testing
 
 from common import answer_reader
 from common import relay_rig
@@ -80,3 +81,46 @@
     answer = await _read_answer(rig, '/stream/x')
     assert not answer.is_whole
     assert trio.current_time() - started_s < 1.0
+
+
+def _reset_first_report(rig):
+    """Reset the next connection, as a server without a free one does."""
+    connect = rig.dialer.connect
+    left = 1
+
+    async def connect_full(host, port):
+        nonlocal left
+        stream = await connect(host, port)
+        if left:
+            left -= 1
+            await stream.aclose()
+            near, far = testing.memory_stream_pair()
+            await far.aclose()
+            return near
+        return stream
+
+    rig.dialer.connect = connect_full
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x', '/stream/x'])
+def test_end_is_believed_of_a_server_that_resets_one_report(path):
+    """Guards against whole answers that fail while a server is full."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        async def serve(stream):
+            if not await relay_rig.read_request(stream):
+                return
+            await stream.send_all(_HEAD + relay_rig.encode_event(1))
+            _reset_first_report(rig)
+            await stream.aclose()
+
+        service = 'model' if path == '/stream/x' else 'plain'
+        rig.add_server(service, 1, serve)
+        caller = rig.connect()
+        await caller.send(path, *_PROMPT, 'Connection: close')
+        (answer,) = answer_reader.read_answers(await caller.receive_all())
+        assert answer.status == 200
+        assert answer.is_whole
+
+    play()
