Ask on another connection if a report ends the one it came on

Callers that took a stream up were refused (503) though a server of its version was there, and streams that began could not be resumed, if the server closed a kept connection at that moment or answered the report with "Connection: close", as servers do now and then. Cause: the connection was lost, which shows nothing about the instance, but counted like a server without reports. Change: the report is asked for on one more, new connection. Result: test_stream_goes_on_after_a_report_that_ended_its_connection, 2 of 2 fail without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -44,22 +44,25 @@
         progress.instance_check = None
         # A request that must not be retried needs a new connection, since the
         # server may have closed an idle one.
-        backend = await self._acquire(
-            job, server, may_reuse=job.access.route.is_idempotent
-        )
-        if (
-            isinstance(backend, server_dialer.Unreachable)
-            or not job.access.route.is_resumable
-        ):
-            return backend
-        if backend.is_instance_proved:
-            return backend
-        check = await self._context.prover.check_connection(server, backend)
-        if check.proof is _Proof.PROVED:
-            if backend.prepare_reuse():
+        for may_reuse in (job.access.route.is_idempotent, False):
+            backend = await self._acquire(job, server, may_reuse)
+            if (
+                isinstance(backend, server_dialer.Unreachable)
+                or not job.access.route.is_resumable
+                or backend.is_instance_proved
+            ):
                 return backend
-            # What was proved of this connection is not true of the next one.
-            check = instance_prover.InstanceCheck(_Proof.NONE)
+            check = await self._context.prover.check_connection(
+                server, backend
+            )
+            if check.proof is _Proof.PROVED:
+                if backend.prepare_reuse():
+                    return backend
+                # What was proved of this connection is not true of another.
+                check = instance_prover.InstanceCheck(_Proof.LOST)
+            if check.proof is not _Proof.LOST:
+                break
+            await backend.aclose()
         return await self._handle_unproved(
             job, server, progress, backend, check
         )
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -3,9 +3,11 @@
 from foxtailrelay_core import messages
 import pytest
 import trio
+from trio import testing
 
 from common import origin_network
 from common import relay_rig
+from common import reporting_stream
 from common import virtual_time
 
 _HOST = '10.0.0.1'
@@ -76,3 +78,45 @@
         assert found == messages.StreamFound((), 'v1')
 
     virtual_time.run(main)
+
+
+@pytest.mark.parametrize('is_closing', [False, True])
+def test_stream_goes_on_after_a_report_that_ended_its_connection(is_closing):
+    """Guards against sole servers that a lost connection excludes."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        requests = []
+        rig.add_server('model', 1, _stream(3, 4, requests))
+        await trio.sleep(6.1)
+        rig.confirm_configuration(relay_rig.encode_configuration(8))
+        connect = rig.dialer.connect
+        count = 0
+
+        async def connect_once(host, port):
+            nonlocal count
+            count += 1
+            if count > 1:
+                return await connect(host, port)
+            near, far = testing.memory_stream_pair()
+
+            async def serve():
+                await relay_rig.read_request(far)
+                if is_closing:
+                    report = reporting_stream.encode_report(1)
+                    head, _, rest = report.partition(b'\r\n')
+                    await far.send_all(
+                        head + b'\r\nConnection: close\r\n' + rest
+                    )
+                await far.aclose()
+
+            rig.nursery.start_soon(serve)
+            return near
+
+        rig.dialer.connect = connect_once
+        caller = rig.connect()
+        await caller.send('/resume/x', _TOKENS, 'Last-Event-Id: 2')
+        assert relay_rig.status_code(await caller.receive()) == 200
+        assert len(requests) == 1
+
+    play()
