Close the connection if a caller leaves during a report

A caller that left, or a deadline, while a server was asked for its report cancelled the attempt between its connection and its request, where nothing closed the connection; servers kept its slot until the garbage collector ran. Result: test_connection_is_closed_if_the_caller_leaves_during_a_report fails without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -75,9 +75,14 @@
         """Find out whether a connection leads to the listed instance.
 
         The connection may carry a request afterwards if it is still
-        reusable.
+        reusable.  A cancelled check closes it.
         """
-        check = await self._ask(server, backend)
+        try:
+            check = await self._ask(server, backend)
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await backend.aclose()
+            raise
         backend.is_instance_proved = check.proof is _Proof.PROVED
         self._metrics.instance_checks.labels(check.proof.name.lower()).inc()
         return check
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -120,3 +120,32 @@
         assert len(requests) == 1
 
     play()
+
+
+@relay_rig.with_rig
+async def test_connection_is_closed_if_the_caller_leaves_during_a_report(rig):
+    """Guards against connections that a server keeps for nobody."""
+    ended = trio.Event()
+
+    async def connect(host, port):
+        near, far = testing.memory_stream_pair()
+
+        async def serve():
+            while await far.receive_some():
+                pass
+            ended.set()
+
+        rig.nursery.start_soon(serve)
+        kept.append(near)
+        return near
+
+    kept = []
+    rig.add_server('model', 1, None)
+    rig.dialer.connect = connect
+    caller = rig.connect()
+    await caller.send('/resume/x', _TOKENS)
+    await trio.sleep(0.1)
+    await caller.stream.aclose()
+    with trio.fail_after(1.0):
+        await ended.wait()
+    assert len(kept) == 1
