Give reports ids that no caller can send

A resumable stream whose caller had chosen the id "report N" of the report on its connection was not sent: the connection had carried this id before. Result: test_request_id_may_read_like_that_of_a_report fails without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -118,7 +118,8 @@
         try:
             with trio.move_on_after(_REPORT_TIMEOUT_S) as scope:
                 await backend.send(
-                    f'report {next(self._numbers)}',
+                    # No id that a caller can send: headers have no line ends.
+                    f'report\n{next(self._numbers)}',
                     request.method,
                     request.target,
                     request.headers,
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -149,3 +149,14 @@
     with trio.fail_after(1.0):
         await ended.wait()
     assert len(kept) == 1
+
+
+@relay_rig.with_rig
+async def test_request_id_may_read_like_that_of_a_report(rig):
+    """Guards against ids that callers choose."""
+    requests = []
+    rig.add_server('model', 1, _stream(1, 1, requests))
+    caller = rig.connect()
+    await caller.send('/resume/x', _TOKENS, request_id='report 1')
+    await caller.receive()
+    assert len(requests) == 1
