--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -1,7 +1,6 @@
 """Opens the connections of attempts, to proved instances if needed."""
 
 import logbook
-import trio
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import instance_prover
@@ -46,39 +45,29 @@
             progress.witness = await self._context.prover.open_witness(server)
         # A request that must not be retried needs a new connection, since the
         # server may have closed an idle one.
-        backend = await self._acquire(
-            job, server, may_reuse=job.access.route.is_idempotent
-        )
-        if (
-            isinstance(backend, server_dialer.Unreachable)
-            or not job.access.route.is_resumable
-        ):
-            return backend
-        if backend.is_instance_proved:
-            return backend
-        check = await self._check(server, backend)
-        if check.proof is _Proof.PROVED:
-            if backend.prepare_reuse():
+        for may_reuse in (job.access.route.is_idempotent, False):
+            backend = await self._acquire(job, server, may_reuse)
+            if (
+                isinstance(backend, server_dialer.Unreachable)
+                or not job.access.route.is_resumable
+                or backend.is_instance_proved
+            ):
                 return backend
-            # What was proved of this connection is not true of the next one.
-            check = instance_prover.InstanceCheck(_Proof.NONE)
+            check = await self._context.prover.check_connection(
+                server, backend
+            )
+            if check.proof is _Proof.PROVED:
+                if backend.prepare_reuse():
+                    return backend
+                # What was proved of this connection is not true of another.
+                check = instance_prover.InstanceCheck(_Proof.LOST)
+            if check.proof is not _Proof.LOST:
+                break
+            await backend.aclose()
         return await self._handle_unproved(
             job, server, progress, backend, check
         )
 
-    async def _check(
-        self,
-        server: backend_server.BackendServer,
-        backend: backend_connection.BackendConnection,
-    ) -> instance_prover.InstanceCheck:
-        """Check a connection; close it if the request ends meanwhile."""
-        try:
-            return await self._context.prover.check_connection(server, backend)
-        except BaseException:
-            with trio.CancelScope(shield=True):
-                await backend.aclose()
-            raise
-
     async def _handle_unproved(
         self,
         job: jobs.Job,
