Close connections of foxtailrelayd after streams that end them

Seen by callers: whole streams whose connection stayed open, with HTTP/1.0 (where the end of the connection is the end of the answer) and with "Connection: close"; the client libraries waited until their timeout.

Cause: hypercorn reports a disconnect to the application while it ends the connection after the last bytes; the node took that for a caller who had left and cancelled the end.

Change: disconnects cancel only the work for an answer, not its last bytes.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
@@ -51,11 +51,16 @@
     ) -> None:
         """Serve the request until it ends or the caller disconnects."""
         self._send = send
+        is_served = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery)
             self.failure = await self._dispatcher.serve(self._job, self)
-            await self._finish(scope, receive)
+            is_served = True
             nursery.cancel_scope.cancel()
+        # The server reports a disconnect also while it ends the connection
+        # after the last bytes, which must not be cancelled.
+        if is_served:
+            await self._finish(scope, receive)
 
     async def handle_event(
         self, engine: str, event: engine_outcomes.StreamEvent
