Send streams of foxtailrelayd with a length to callers on HTTP/1.0

Seen by callers that speak HTTP/1.0 (http.client, a socket): a stream that had broken off was reported as whole, if its node was killed or stopped at the end of its drain, or its engine ended.

Cause: such a body ends with its connection, and the kernel and hypercorn close that in order also when the answer breaks off.

Change: these callers get all events at the end, with Content-Length, and a problem document where the stream failed. They lose the early events.

Before: 8 of 14 cases with HTTP/1.0 in test_client_libraries.py failed at a real node; now none.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
@@ -17,6 +17,7 @@
 from foxtailrelay_node.internal.clients import engine_outcomes
 
 _RANDOM_BYTES = 16
+_HTTP_1_0 = '1.0'
 
 
 def new_request_id(organisation: str) -> str:
@@ -27,6 +28,9 @@
 class StreamedAnswer(event_sink.EventSink):
     """An ASGI response that streams events to the caller.
 
+    Callers that speak HTTP/1.0 get all events at the end, with a length: in
+    a body without one they can't tell the end from a broken connection.
+
     Parameters
     ----------
     dispatcher : ModelDispatcher
@@ -44,6 +48,7 @@
         self._dispatcher = dispatcher
         self._job = job
         self._has_started = False
+        self._held_body: bytearray | None = None
         self._send: types.Send | None = None
 
     async def __call__(
@@ -51,6 +56,8 @@
     ) -> None:
         """Serve the request until it ends or the caller disconnects."""
         self._send = send
+        if scope['http_version'] == _HTTP_1_0:
+            self._held_body = bytearray()
         is_served = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery)
@@ -66,8 +73,6 @@
         self, engine: str, event: engine_outcomes.StreamEvent
     ) -> None:
         """Send one event, with an id by which any node can resume."""
-        if not self._has_started:
-            await self._start()
         point = resume_point.ResumePoint(
             self._job.request_id, engine, event.number
         )
@@ -84,9 +89,10 @@
         event has been sent yet.
         """
         if self.failure is None:
-            if not self._has_started:
-                await self._start()
             await self._send_body(b'data: [DONE]\n\n')
+            if self._held_body is not None:
+                await self._start(len(self._held_body))
+                await self._send_part(bytes(self._held_body))
         elif not self._has_started:
             answer = caller_answer.CallerAnswer.from_failure(
                 self.failure, self._job.request_id
@@ -99,8 +105,11 @@
             await self._send_body(b'event: error\ndata: %b\n\n' % problem)
         await self._send({'type': 'http.response.body', 'body': b''})
 
-    async def _start(self) -> None:
+    async def _start(self, length: int | None = None) -> None:
         self._has_started = True
+        framing = []
+        if length is not None:
+            framing.append((b'content-length', str(length).encode()))
         await self._send(
             {
                 'type': 'http.response.start',
@@ -109,11 +118,20 @@
                     (b'content-type', b'text/event-stream; charset=utf-8'),
                     (b'cache-control', b'no-store'),
                     (b'x-request-id', self._job.request_id.encode()),
+                    *framing,
                 ],
             }
         )
 
     async def _send_body(self, data: bytes) -> None:
+        if self._held_body is not None:
+            self._held_body += data
+            return
+        if not self._has_started:
+            await self._start()
+        await self._send_part(data)
+
+    async def _send_part(self, data: bytes) -> None:
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
--- a/tests/cover/test_client_libraries.py
+++ b/tests/cover/test_client_libraries.py
@@ -1,6 +1,7 @@
 """Answers of a real node that break off, read by client libraries."""
 
 import json
+import signal
 import socket
 import threading
 import time
@@ -44,6 +45,7 @@
     'timings': {'drain_timeout_s': 1.0},
 }
 _PAUSE_S = 0.05
+_BEFORE_THE_END_S = 0.3
 
 
 class _Engine:
@@ -128,6 +130,10 @@
 
 
 _READERS = [*caller_libraries.READERS, _read_with_openai]
+_HTTP_1_0_READERS = [
+    caller_libraries.read_with_http_client_1_0,
+    caller_libraries.read_with_a_socket_1_0,
+]
 
 
 @pytest.fixture(scope='module')
@@ -199,3 +205,45 @@
         while part := connection.recv(65536):
             data += part
     assert data.endswith(b'\r\n0\r\n\r\n')
+
+
+@pytest.mark.parametrize('is_streamed', [True, False])
+@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+def test_answer_of_an_ended_engine_is_not_whole_for_any_library(
+    playing, read, is_streamed
+):
+    cluster, engine = playing
+    engine.event_count = 3
+    answer = _read(cluster, read, is_streamed)
+    assert not answer.is_whole or answer.status != 200
+
+
+@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+def test_stream_at_its_deadline_is_not_whole_for_any_library(playing, read):
+    cluster, _ = playing
+    answer = _read(cluster, read, True)
+    assert not answer.is_whole or answer.status != 200
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGTERM])
+@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+def test_stream_of_a_node_that_ends_is_not_whole_for_any_library(
+    playing, read, number
+):
+    cluster, engine = playing
+    process = cluster.process_by_name['entry-1']
+
+    def end_node():
+        engine.has_begun.wait()
+        time.sleep(_BEFORE_THE_END_S)
+        process.send_signal(number)
+
+    thread = threading.Thread(target=end_node, daemon=True)
+    thread.start()
+    try:
+        answer = _read(cluster, read, True)
+    except OSError:
+        answer = caller_libraries.LibraryAnswer(0, b'', False)
+    thread.join()
+    assert process.wait(20) is not None
+    assert not answer.is_whole or answer.status != 200
