Leave streams of foxtailrelayd that break off without their end

Seen by callers: httpx2, httpcore and http.client reported a stream as whole that had ended with an error event, since its last chunk followed; the openai library handed the error out as a chunk without choices and then ended without an error.

Cause: the end of the body said that the node had written all it had, not that the answer was whole.

Change: after the error event the body is left without its last chunk, and the event has an "error" that the openai library raises. HTTP/2 streams still end in order after the event: ASGI can't reset them.

--- a/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_endpoint.py
@@ -18,6 +18,7 @@
 
 _RANDOM_BYTES = 16
 _HTTP_1_0 = '1.0'
+_HTTP_1_1 = '1.1'
 
 
 def new_request_id(organisation: str) -> str:
@@ -85,8 +86,9 @@
     ) -> None:
         """End the stream with ``[DONE]`` or with the failure.
 
-        A failure is sent as an error event, or as a problem document if no
-        event has been sent yet.
+        A failure is sent as a problem document if no event has been sent
+        yet; else as an error event, after which the body is left without
+        its end, so that no client library takes it for whole.
         """
         if self.failure is None:
             await self._send_body(b'data: [DONE]\n\n')
@@ -101,8 +103,10 @@
             await response(scope, receive, self._send)
             return
         else:
-            problem = json.dumps(self.failure.problem_document()).encode()
+            problem = _build_error_event(self.failure)
             await self._send_body(b'event: error\ndata: %b\n\n' % problem)
+            if scope['http_version'] == _HTTP_1_1:
+                return
         await self._send({'type': 'http.response.body', 'body': b''})
 
     async def _start(self, length: int | None = None) -> None:
@@ -233,6 +237,20 @@
         return failure or sink.answer()
 
 
+def _build_error_event(failure: errors.Failure) -> bytes:
+    """Return the data of an error event.
+
+    It is the problem document with an ``error`` in the form that client
+    libraries of the chat-completions API raise.
+    """
+    error = {
+        'message': failure.detail,
+        'type': failure.kind.value,
+        'code': failure.kind.value,
+    }
+    return json.dumps(failure.problem_document() | {'error': error}).encode()
+
+
 async def _cancel_on_disconnect(
     receive: types.Receive, nursery: trio.Nursery
 ) -> None:
--- a/tests/cover/test_client_libraries.py
+++ b/tests/cover/test_client_libraries.py
@@ -130,10 +130,6 @@
 
 
 _READERS = [*caller_libraries.READERS, _read_with_openai]
-_HTTP_1_0_READERS = [
-    caller_libraries.read_with_http_client_1_0,
-    caller_libraries.read_with_a_socket_1_0,
-]
 
 
 @pytest.fixture(scope='module')
@@ -208,7 +204,7 @@
 
 
 @pytest.mark.parametrize('is_streamed', [True, False])
-@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+@pytest.mark.parametrize('read', _READERS)
 def test_answer_of_an_ended_engine_is_not_whole_for_any_library(
     playing, read, is_streamed
 ):
@@ -218,7 +214,7 @@
     assert not answer.is_whole or answer.status != 200
 
 
-@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+@pytest.mark.parametrize('read', _READERS)
 def test_stream_at_its_deadline_is_not_whole_for_any_library(playing, read):
     cluster, _ = playing
     answer = _read(cluster, read, True)
@@ -226,7 +222,7 @@
 
 
 @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGTERM])
-@pytest.mark.parametrize('read', _HTTP_1_0_READERS)
+@pytest.mark.parametrize('read', _READERS)
 def test_stream_of_a_node_that_ends_is_not_whole_for_any_library(
     playing, read, number
 ):
