Take streams up only at the service that began them

Callers saw a stream go on in that of another service after a configuration had moved or split their route: each try chose a service by its own id, no origin was known there, and the sole version of its servers was used. Cause: versions were compared between servers of different services. Change: the origin is looked for at all services of the route, and the one that began the stream is used. Without an origin, a sole version counts only if the path has led to this service alone for as long as streams last.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -60,6 +60,7 @@
         connection: caller_connection.CallerConnection,
     ) -> errors.Failure | None:
         """Answer a request; return a failure that is not yet sent."""
+        job = await self._streams.find_origin(job, progress)
         now_s = self._context.now_s()
         self._context.budget.record_request(job.service, now_s)
         self._context.demand.record_request(
@@ -77,7 +78,6 @@
         connection: caller_connection.CallerConnection,
     ) -> errors.Failure | None:
         unreachable: set[str] = set()
-        await self._streams.find_origin(job, progress)
         while True:
             refusal = self._recheck_stop(job, progress)
             if refusal is not None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -39,24 +39,42 @@
 
     async def find_origin(
         self, job: jobs.Job, progress: progresses.Progress
-    ) -> None:
-        """Find where a stream began that the caller takes up."""
+    ) -> jobs.Job:
+        """Find where a stream began that the caller takes up.
+
+        Returns the request with the service that began the stream, if its
+        route still leads there.
+        """
         if not is_resumed(job, progress):
-            return
+            return job
         window_s = job.access.route.timeout_s + _WINDOW_MARGIN_S
-        found = await self._context.origins.find(
-            messages.StreamQuery(
-                job.request.resumes,
-                job.service,
-                job.fingerprint,
-                int(window_s * 1000),
+        services = {entry.service for entry in job.access.route.services}
+        for service in sorted(services, key=lambda s: s != job.service):
+            found = await self._context.origins.find(
+                messages.StreamQuery(
+                    job.request.resumes,
+                    service,
+                    job.fingerprint,
+                    int(window_s * 1000),
+                )
             )
-        )
-        progress.origin = found.origins[0] if found.origins else None
+            if found.origins:
+                progress.origin = found.origins[0]
+                return job._replace(service=service)
         # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
-        if listed == {found.sole_version}:
+        past_services = self._context.state.route_history.find_services(
+            job.request.host,
+            job.request.path,
+            self._context.now_s() - window_s,
+        )
+        if (
+            past_services is not None
+            and past_services | services == {job.service}
+            and listed == {found.sole_version}
+        ):
             progress.sole_version = found.sole_version
+        return job
 
     def record_event(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay.catalogue import organisation as orgs
 from foxtailrelay_node.internal.relay.catalogue import route as routes
+from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.catalogue import routing_table
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.policy import stop_schedule
@@ -72,6 +73,8 @@
     ----------
     stop : StopSchedule or None
         The times of the planned stop, if one has begun.
+    route_history : RouteHistory
+        Routes of earlier configurations.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         key_validity_s: float,
     ) -> None:
         self.table: routing_table.RoutingTable | None = None
+        self.route_history = route_history.RouteHistory()
         self.stop: stop_schedule.StopSchedule | None = None
         self.follower: topic_follower.TopicFollower | None = None
         self._decoder = decoder
@@ -121,6 +125,10 @@
                     self._copy_suspected_until_s = (
                         self._clock.boot_s() + self._key_validity_s
                     )
+                if self.table is not None:
+                    self.route_history.record_replaced(
+                        self.table, self._clock.boot_s()
+                    )
                 self.table = decoded
                 _LOG.info(
                     'configuration-in-force',
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -470,3 +470,67 @@
     answer = await _send(rig, *_RESUMED)
     assert relay_rig.status_code(answer) == 200
     assert (len(first), len(same), other) == (1, 1, [])
+
+
+def _configure_resumable(rig, **route_changes):
+    content = relay_rig.decoded_configuration()
+    route = next(r for r in content['routes'] if r['name'] == 'resume')
+    route.update(route_changes)
+    content['services'].append(content['services'][1] | {'name': 'other'})
+    rig.confirm_configuration(
+        relay_rig.encode_configuration(
+            100 + next(_NUMBERS),
+            routes=content['routes'],
+            services=content['services'],
+        )
+    )
+
+
+async def _take_up(rig, *headers):
+    caller = rig.connect()
+    await caller.send(
+        '/resume/x', _TOKENS, *headers, request_id='q', body=b'prompt'
+    )
+    return await caller.receive()
+
+
+@pytest.mark.parametrize('headers', [_RESUMED, ('Last-Event-Id: 2',)])
+def test_stream_does_not_go_on_at_another_service_of_a_moved_route(headers):
+    """Guards against joined streams after a route has moved."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        requests = []
+        rig.add_server('other', 2, _stream_backend(3, 4, requests))
+        await trio.sleep(30.0)
+        await _begin(rig)
+        _configure_resumable(rig, service='other')
+        answer = await _take_up(rig, *headers)
+        assert relay_rig.status_code(answer) == 503
+        assert requests == []
+        await trio.sleep(30.0)
+        _configure_resumable(rig, service='other')
+        answer = await _take_up(rig, 'Last-Event-Id: 2')
+        assert relay_rig.status_code(answer) == 200
+
+    play()
+
+
+@relay_rig.with_rig
+async def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it(
+    rig,
+):
+    """Guards against the service that the caller's new id would choose."""
+    same, other = [], []
+    await _begin(rig)
+    for index in range(2, 6):
+        rig.add_server('other', index, _stream_backend(3, 4, other))
+    rig.add_server('model', 7, _stream_backend(3, 4, same))
+    split = [
+        {'service': 'model', 'weight': 1},
+        {'service': 'other', 'weight': 99},
+    ]
+    _configure_resumable(rig, **{'traffic-split': split, 'service': None})
+    answer = await _take_up(rig, *_RESUMED)
+    assert relay_rig.status_code(answer) == 200
+    assert (len(same), other) == (1, [])
