Blame no request for a process that had ended before it was sent

While the list shows a process that has ended, such as in an outage of the store, its next one serves under its address. Each reset by that one counted as the end of the listed one, and the requests there as what had crashed it. A report of another process now records ends also where nothing has broken, so this became more frequent. Change: the time of a recorded end is kept; a request that was sent later is no evidence. Result: test_request_is_not_blamed_for_the_process_before fails without the change; test_crash_quarantine.py and test_partitions.py pass.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
@@ -50,7 +50,14 @@
     ) -> Finding:
         """Record an attempt; return what it shows of the server."""
         reason = _find_disconnect(job, result)
-        if reason is None or not self._is_expected_to_run(server):
+        if (
+            reason is None
+            or not self._is_expected_to_run(server)
+            # The request was at another process with the server's address.
+            or self._context.end_checker.had_ended(
+                server, progress.attempt_sent_at_s
+            )
+        ):
             self._record_answer(job, result)
             return Finding()
         at_s = self._context.now_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_end_checker.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_end_checker.py
@@ -105,6 +105,12 @@
             self._record_end(server, reason, detail)
         return check
 
+    def had_ended(
+        self, server: backend_server.BackendServer, at_s: float
+    ) -> bool:
+        """Whether the end of an instance was known before a time."""
+        return self._links.had_ended(server, at_s)
+
     def watch(
         self,
         server: backend_server.BackendServer,
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/server_links.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/server_links.py
@@ -61,9 +61,9 @@
         self._was_partitioned = False
         self._has_failure = trio.Event()
         self._probe_index = 0
-        self._ended_keys: collections.OrderedDict[tuple[str, int], None] = (
-            collections.OrderedDict()
-        )
+        self._ended_at_s_by_key: collections.OrderedDict[
+            tuple[str, int], float
+        ] = collections.OrderedDict()
 
     async def connect(
         self,
@@ -104,13 +104,22 @@
 
     def has_ended(self, server: backend_server.BackendServer) -> bool:
         """Whether the process of an instance is known to have ended."""
-        return server.instance_key in self._ended_keys
+        return server.instance_key in self._ended_at_s_by_key
+
+    def had_ended(
+        self, server: backend_server.BackendServer, at_s: float
+    ) -> bool:
+        """Whether the end of an instance was known before a time."""
+        ended_at_s = self._ended_at_s_by_key.get(server.instance_key)
+        return ended_at_s is not None and ended_at_s < at_s
 
     def record_end(self, server: backend_server.BackendServer) -> None:
         """Record that the process of an instance has ended."""
-        self._ended_keys[server.instance_key] = None
-        if len(self._ended_keys) > _MAX_ENDED:
-            self._ended_keys.popitem(last=False)
+        self._ended_at_s_by_key.setdefault(
+            server.instance_key, self._clock.boot_s()
+        )
+        if len(self._ended_at_s_by_key) > _MAX_ENDED:
+            self._ended_at_s_by_key.popitem(last=False)
 
     def record_reached(self) -> None:
         """Record that a direct connection was opened."""
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -12,6 +12,7 @@
 
 _HOST = '10.0.0.1'
 _TOKENS = 'Token-Counts: 100,20'
+_PROMPT = (_TOKENS, 'Prompt-Prefix: aa:60,bb:40')
 
 
 def _stream(first, last, requests, is_cut=False):
@@ -160,3 +161,37 @@
     await caller.send('/resume/x', _TOKENS, request_id='report 1')
     await caller.receive()
     assert len(requests) == 1
+
+
+@relay_rig.with_rig
+async def test_request_is_not_blamed_for_the_process_before(rig):
+    """Guards against blame for a process that had ended before."""
+    requests = []
+
+    async def serve(stream):
+        request = await relay_rig.read_request(stream)
+        if not request:
+            return
+        requests.append(request)
+        if b'/resume/' in request:
+            await stream.send_all(relay_rig.stream_head())
+            await stream.send_all(
+                relay_rig.encode_chunk(relay_rig.encode_event(1))
+                + relay_rig.LAST_CHUNK
+            )
+        await stream.aclose()
+
+    rig.add_server('model', 1, serve)
+    rig.dialer.started_ms_by_host[_HOST] = 2
+    caller = rig.connect()
+    await caller.send('/resume/x', _TOKENS)
+    await caller.receive()
+    await trio.sleep(1.0)
+    crashes = []
+    rig.quarantine.record_crash = lambda *args, **options: crashes.append(args)
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT)
+    assert relay_rig.status_code(await caller.receive()) == 502
+    assert len(requests) == 2
+    await trio.sleep(6.0)
+    assert crashes == []
