Doubt ends at the deadline that the server was given

A node that stops gives servers the time until its own end, but took an end without a length for one at the deadline only by the caller's, which may be seconds later. A server that stopped 31 to 50 ms early, within the margin for early ends, made a cut stream whole. Change: the deadline that was sent is kept with the attempt. Result: test_end_at_the_time_of_a_planned_stop_is_not_believed fails without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -255,7 +255,8 @@
         if not self._backend.is_close_delimited:
             return None
         reason = 'the connection ended the answer'
-        left_s = self._job.deadline_s - self._context.now_s()
+        # A node that stops gives servers less time than the caller has.
+        left_s = self._progress.attempt_deadline_s - self._context.now_s()
         if left_s <= _DEADLINE_MARGIN_S:
             return results.Broken(f'{reason} at the deadline')
         server = self._placed.view.server
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -312,6 +312,7 @@
         progress.sent_count += 1
         progress.may_have_run = True
         progress.attempt_sent_at_s = self._context.now_s()
+        progress.attempt_deadline_s = deadline_s
         progress.attempt_first_event_at_s = None
         progress.end_proof = ''
         progress.position.begin_answer()
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -1,6 +1,7 @@
 """Progress of a request over its attempts."""
 
 import dataclasses
+import math
 
 from foxtailrelay_core import messages
 
@@ -48,6 +49,8 @@
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
         When the current attempt was sent, in seconds since boot.
+    attempt_deadline_s : float
+        The deadline that its server was given, in seconds since boot.
     attempt_first_event_at_s : float or None
         When the first event of the current attempt was received, in seconds
         since boot.
@@ -73,6 +76,7 @@
     instance_check: instance_prover.InstanceCheck | None = None
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
+    attempt_deadline_s: float = math.inf
     attempt_first_event_at_s: float | None = None
     end_proof: str = ''
     _last_part_at_s: float = 0.0
--- a/tests/cover/relay/test_doubted_ends.py
+++ b/tests/cover/relay/test_doubted_ends.py
@@ -59,3 +59,28 @@
         assert answer.status == 502 or not answer.is_whole
 
     play()
+
+
+@relay_rig.with_rig
+async def test_end_at_the_time_of_a_planned_stop_is_not_believed(rig):
+    """Guards against servers that stop at the deadline they were given."""
+
+    async def serve(stream):
+        request = await relay_rig.read_request(stream)
+        if not request:
+            return
+        left_ms = int(
+            request.lower().partition(b'deadline-ms: ')[2].split()[0]
+        )
+        await stream.send_all(_HEAD + relay_rig.encode_event(1))
+        await trio.sleep(left_ms / 1000 - 0.04)
+        await stream.aclose()
+
+    rig.add_server('model', 1, serve)
+    durations = rig.relay._attempts._context.durations
+    durations.end('stream', durations.begin('stream'), is_whole=True)
+    rig.begin_stop(after_s=2.99)
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    (answer,) = answer_reader.read_answers(await caller.receive_all())
+    assert not answer.is_whole
