Do not begin a stream before a late report is read

Callers got 502, and servers ran the stream for nobody, if a late answer to an earlier request came on a kept connection where the report was due: it proved nothing, the stream began there unproved, and the report was then read as its answer. Change: a kept connection without a proof is closed and a new one asked. Result: test_late_answer_on_a_kept_connection_is_no_report fails without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -52,6 +52,7 @@
                 or backend.is_instance_proved
             ):
                 return backend
+            is_new = backend.is_new
             check = await self._context.prover.check_connection(
                 server, backend
             )
@@ -60,7 +61,10 @@
                     return backend
                 # What was proved of this connection is not true of another.
                 check = instance_prover.InstanceCheck(_Proof.LOST)
-            if check.proof is not _Proof.LOST:
+            if check.proof is not _Proof.LOST and (
+                # A late answer to an earlier request may have come instead.
+                is_new or check.proof is not _Proof.NONE
+            ):
                 break
             await backend.aclose()
         return await self._handle_unproved(
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -81,6 +81,11 @@
             and self._stream.is_hop_lost
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was begun on the connection."""
+        return self._state.is_new
+
     def may_carry(self, request_id: str) -> bool:
         """Whether a request may be the next one on the connection."""
         return self._state.may_carry(request_id)
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/request_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/request_state.py
@@ -79,6 +79,11 @@
             and len(self._request_ids) < MAX_REQUESTS
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was begun."""
+        return not self._request_ids
+
     def may_carry(self, request_id: str) -> bool:
         """Whether a request may be the next one on the connection.
 
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -1,5 +1,8 @@
 """What follows from a process that the server list does not show."""
 
+import contextlib
+import json
+
 from foxtailrelay_core import messages
 import pytest
 import trio
@@ -195,3 +198,48 @@
     assert len(requests) == 2
     await trio.sleep(6.0)
     assert crashes == []
+
+
+@relay_rig.with_rig
+async def test_late_answer_on_a_kept_connection_is_no_report(rig):
+    """Guards against streams that begin before a late report is read."""
+    targets = []
+
+    async def serve(stream):
+        while request := await relay_rig.read_request(stream):
+            targets.append(request.split()[1])
+            if targets[-1] == b'/any/x':
+                await stream.send_all(relay_rig.success_response())
+            elif targets[-1] != b'/-/report':
+                await stream.send_all(
+                    relay_rig.stream_head('r2')
+                    + relay_rig.encode_chunk(relay_rig.encode_event(1))
+                    + relay_rig.LAST_CHUNK
+                )
+            elif targets[-2] == b'/any/x':
+                await stream.send_all(relay_rig.success_response())
+                await trio.sleep(0.01)
+                await stream.send_all(reporting_stream.encode_report(1))
+            else:
+                await stream.send_all(reporting_stream.encode_report(1))
+
+    async def serve_until_closed(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await serve(stream)
+
+    async def connect(host, port):
+        near, far = testing.memory_stream_pair()
+        rig.nursery.start_soon(serve_until_closed, far)
+        return near
+
+    rig.add_server('model', 1, None)
+    rig.dialer.connect = connect
+    fields = relay_rig.decoded_configuration() | {'version': 8}
+    for route in fields['routes']:
+        route['service'] = 'model'
+    rig.confirm_configuration(json.dumps(fields).encode())
+    for path, request_id in (('/any/x', 'r1'), ('/resume/x', 'r2')):
+        caller = rig.connect()
+        await caller.send(path, *_PROMPT, request_id=request_id)
+        assert relay_rig.status_code(await caller.receive()) == 200
+    assert targets.count(b'/resume/x') == 1
