--- a/soak/all_node_faults.py
+++ b/soak/all_node_faults.py
@@ -58,11 +58,7 @@
     async def _kill_all_nodes(self, nursery) -> None:
         hosts = self._choose()
         self._record(f'kill {", ".join(hosts)} at once (SIGKILL)')
-        with self._cluster.ending(hosts):
-            processes = [self._kill(host) for host in hosts]
-            for process in processes:
-                while process.poll() is None:
-                    await trio.sleep(_POLL_S)
+        processes = [self._kill(host) for host in hosts]
         async with trio.open_nursery() as restarts:
             for host, process in zip(hosts, processes, strict=True):
                 restarts.start_soon(self._restart, host, process)
@@ -73,6 +69,8 @@
         return process
 
     async def _restart(self, host: str, process: subprocess.Popen) -> None:
+        while process.poll() is None:
+            await trio.sleep(_POLL_S)
         await trio.sleep(self._rng.uniform(*_RESTART_DELAY_S))
         if self._cluster.processes.process_by_host[host] is process:
             self._cluster.start_node(host)
@@ -92,7 +90,6 @@
     async def _stop_all_nodes(self, nursery) -> None:
         hosts = self._choose()
         self._record(f'stop {", ".join(hosts)} at once (SIGTERM)')
-        with self._cluster.ending(hosts):
-            async with trio.open_nursery() as stops:
-                for host in hosts:
-                    stops.start_soon(self._stops.stop_node, host)
+        async with trio.open_nursery() as stops:
+            for host in hosts:
+                stops.start_soon(self._stops.stop_node, host)
--- a/soak/node_conditions.py
+++ b/soak/node_conditions.py
@@ -8,8 +8,6 @@
 from soak import soak_times
 
 _CONTACT_S = 3.0
-# A stream can be taken up after the end of so many nodes at the same time.
-_MAX_LOST_NODES = 2
 # Callers learn of the end of a process a while after it.
 _END_SEEN_S = 0.3
 
@@ -28,7 +26,6 @@
         self.disruptions: list[soak_times.Disruption] = []
         self.node_cuts: list[soak_times.NodeCut] = []
         self.stops: list[soak_times.PlannedStop] = []
-        self._losses: list[soak_times.NodeLoss] = []
 
     def record_cut(self, host: str, is_cut: bool) -> None:
         """Record that a cut of a node from all servers begins or ends."""
@@ -49,24 +46,6 @@
             soak_times.Disruption(host, now_s, now_s + seconds)
         )
 
-    @contextlib.contextmanager
-    def ending(self, hosts: typing.Sequence[str]) -> typing.Iterator[None]:
-        """Record that several nodes are being ended meanwhile."""
-        from_s = time.monotonic()
-        try:
-            yield
-        finally:
-            if len(hosts) > _MAX_LOST_NODES:
-                loss = soak_times.NodeLoss(from_s, time.monotonic())
-                self._losses.append(loss)
-
-    def were_origins_kept(self, from_s: float, until_s: float) -> bool:
-        """Whether no more than two nodes were ended at once in a time."""
-        return not any(
-            loss.from_s < until_s and loss.until_s > from_s
-            for loss in self._losses
-        )
-
     @contextlib.contextmanager
     def stopping(self, host: str) -> typing.Iterator[None]:
         """Record that a node is being stopped meanwhile."""
--- a/soak/soak_times.py
+++ b/soak/soak_times.py
@@ -58,10 +58,3 @@
     version: str
     from_s: float
     until_s: float = math.inf
-
-
-class NodeLoss(typing.NamedTuple):
-    """A time in which more nodes ended than streams can be taken up after."""
-
-    from_s: float
-    until_s: float
--- a/soak/stream_guarantees.py
+++ b/soak/stream_guarantees.py
@@ -30,9 +30,6 @@
         if record.resumed is not None
         and cluster.is_in_touch(record.host, record.sent_at_s)
         and _is_version_served(cluster, record)
-        and cluster.were_origins_kept(
-            record.resumed.sent_at_s, record.sent_at_s
-        )
     ]
     if len(resumed) >= _MIN_RESUMED and began:
         share, new_share = _mean(resumed), _mean(began)
