--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -8,6 +8,7 @@
 
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.backends import unframed_servers
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
@@ -16,6 +17,9 @@
 _REPORT_TIMEOUT_S = 0.25
 # Includes a connection through another node.
 _SERVER_TIMEOUT_S = 0.6
+# A full server resets connections that it has accepted.
+_MAX_CONNECTIONS = 2
+_RECONNECT_DELAY_S = 0.03
 _MAX_REPORT_BYTES = 1 << 20
 _Proof = instance_report.InstanceProof
 
@@ -29,10 +33,13 @@
         Whether the listed instance answered.
     started_ms : int or None
         Start of the process that has the id, if it said so.
+    has_answered : bool
+        Whether the process has answered at all.
     """
 
     proof: instance_report.InstanceProof
     started_ms: int | None = None
+    has_answered: bool = False
 
 
 class InstanceProver:
@@ -51,6 +58,11 @@
         Format of the reports.
     metrics : RelayMetrics
         Counts the checks.
+
+    Attributes
+    ----------
+    unframed : UnframedServers
+        Servers whose requests need a witness.
     """
 
     def __init__(
@@ -63,6 +75,7 @@
         self._format = report_format
         self._metrics = metrics
         self._numbers = itertools.count(1)
+        self.unframed = unframed_servers.UnframedServers()
 
     async def check_connection(
         self,
@@ -72,9 +85,14 @@
         """Find out whether a connection leads to the listed instance.
 
         The connection may carry a request afterwards if it is still
-        reusable.
+        reusable.  A cancelled check closes it.
         """
-        check = await self._ask(server, backend)
+        try:
+            check = await self._ask(server, backend)
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await backend.aclose()
+            raise
         backend.is_instance_proved = check.proof is _Proof.PROVED
         self._metrics.instance_checks.labels(check.proof.name.lower()).inc()
         return check
@@ -84,16 +102,60 @@
     ) -> InstanceCheck:
         """Find out whether the listed instance serves new connections."""
         with trio.move_on_after(_SERVER_TIMEOUT_S):
-            stream = await self._dialer.connect(server)
-            if not isinstance(stream, server_dialer.Unreachable):
+            for number in range(_MAX_CONNECTIONS):
+                if number:
+                    await trio.sleep(_RECONNECT_DELAY_S)
+                stream = await self._dialer.connect(server)
+                if isinstance(stream, server_dialer.Unreachable):
+                    break
                 backend = backend_connection.BackendConnection(stream)
                 try:
-                    return await self.check_connection(server, backend)
+                    check = await self.check_connection(server, backend)
                 finally:
                     with trio.CancelScope(shield=True):
                         await backend.aclose()
+                if check.proof is not _Proof.LOST:
+                    return check
         return InstanceCheck(_Proof.NONE)
 
+    async def open_witness(
+        self, server: backend_server.BackendServer
+    ) -> backend_connection.BackendConnection | None:
+        """Open a connection whose process will show that it has lived on.
+
+        A process that answers on it before a request is sent and after the
+        request's connection has ended is the one that answered the request,
+        since the address had no other process meanwhile.
+        """
+        with trio.move_on_after(_SERVER_TIMEOUT_S):
+            stream = await self._dialer.connect(server)
+            if isinstance(stream, server_dialer.Unreachable):
+                return None
+            witness = backend_connection.BackendConnection(stream)
+            is_usable = False
+            try:
+                check = await self._ask(server, witness)
+                is_usable = (
+                    check.has_answered
+                    and check.proof is not _Proof.OTHER
+                    and witness.prepare_reuse()
+                )
+            finally:
+                if not is_usable:
+                    with trio.CancelScope(shield=True):
+                        await witness.aclose()
+            return witness if is_usable else None
+        return None
+
+    async def has_lived_on(
+        self,
+        server: backend_server.BackendServer,
+        witness: backend_connection.BackendConnection,
+    ) -> bool:
+        """Whether the process at the other end of a witness still answers."""
+        check = await self._ask(server, witness)
+        return check.has_answered and check.proof is not _Proof.OTHER
+
     async def _ask(
         self,
         server: backend_server.BackendServer,
@@ -104,7 +166,8 @@
         try:
             with trio.move_on_after(_REPORT_TIMEOUT_S) as scope:
                 await backend.send(
-                    f'report {next(self._numbers)}',
+                    # No id that a caller can send: headers have no line ends.
+                    f'report\n{next(self._numbers)}',
                     request.method,
                     request.target,
                     request.headers,
@@ -115,6 +178,8 @@
                     body += part
                     if len(body) > _MAX_REPORT_BYTES:
                         return InstanceCheck(_Proof.NONE)
+        except backend_connection.BackendDisconnected:
+            return InstanceCheck(_Proof.LOST)
         except backend_connection.BackendConnectionError:
             return InstanceCheck(_Proof.NONE)
         if scope.cancelled_caught:
@@ -126,5 +191,7 @@
         except errors.DECODE_ERRORS:
             report = None
         if report is None:
-            return InstanceCheck(_Proof.NONE)
-        return InstanceCheck(report.compare(server), report.started_ms)
+            return InstanceCheck(_Proof.NONE, has_answered=True)
+        return InstanceCheck(
+            report.compare(server), report.started_ms, has_answered=True
+        )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -1,12 +1,15 @@
 """Progress of a request over its attempts."""
 
 import dataclasses
+import math
 
 from foxtailrelay_core import messages
+import trio
 
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_version
 
@@ -44,10 +47,15 @@
     instance_check : InstanceCheck or None
         Why it is not certain which instance answers the current attempt of a
         resumable stream, if that is so.
+    witness : BackendConnection or None
+        A second connection of the current attempt to its server, which shows
+        whether the server's process has lived on.
     is_origin_recorded : bool
         Whether the origin was recorded for the caller's next attempts.
     attempt_sent_at_s : float
         When the current attempt was sent, in seconds since boot.
+    attempt_deadline_s : float
+        The deadline that its server was given, in seconds since boot.
     attempt_first_event_at_s : float or None
         When the first event of the current attempt was received, in seconds
         since boot.
@@ -71,8 +79,10 @@
     sole_version: str = ''
     requirement: stream_version.VersionRequirement | None = None
     instance_check: instance_prover.InstanceCheck | None = None
+    witness: backend_connection.BackendConnection | None = None
     is_origin_recorded: bool = False
     attempt_sent_at_s: float = 0.0
+    attempt_deadline_s: float = math.inf
     attempt_first_event_at_s: float | None = None
     end_proof: str = ''
     _last_part_at_s: float = 0.0
@@ -87,6 +97,13 @@
         """Whether another answer can take up what the caller has."""
         return self.position.is_certain
 
+    async def close_witness(self) -> None:
+        """Close the witness of the current attempt, if it has one."""
+        witness, self.witness = self.witness, None
+        if witness is not None:
+            with trio.CancelScope(shield=True):
+                await witness.aclose()
+
     def may_use(self, server: backend_server.BackendServer) -> bool:
         """Whether a server may get the request."""
         return self.requirement is None or self.requirement.allows(server)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -15,7 +15,6 @@
 _LOG = logbook.Logger('foxtailrelay.requests')
 _REPLACED = 'a new connection reached another instance'
 _Proof = instance_report.InstanceProof
-_OTHER_ID = instance_prover.InstanceCheck(_Proof.OTHER)
 
 
 class ServerConnector:
@@ -42,24 +41,33 @@
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Open a connection, or return why the server cannot be used."""
         progress.instance_check = None
+        if self._context.prover.unframed.needs_witness(server.instance_key):
+            progress.witness = await self._context.prover.open_witness(server)
         # A request that must not be retried needs a new connection, since the
         # server may have closed an idle one.
-        backend = await self._acquire(
-            job, server, may_reuse=job.access.route.is_idempotent
-        )
-        if (
-            isinstance(backend, server_dialer.Unreachable)
-            or not job.access.route.is_resumable
-        ):
-            return backend
-        if backend.is_instance_proved:
-            return backend
-        check = await self._context.prover.check_connection(server, backend)
-        if check.proof is _Proof.PROVED:
-            if backend.prepare_reuse():
+        for may_reuse in (job.access.route.is_idempotent, False):
+            backend = await self._acquire(job, server, may_reuse)
+            if (
+                isinstance(backend, server_dialer.Unreachable)
+                or not job.access.route.is_resumable
+                or backend.is_instance_proved
+            ):
                 return backend
-            # What was proved of this connection is not true of the next one.
-            check = instance_prover.InstanceCheck(_Proof.NONE)
+            is_new = backend.is_new
+            check = await self._context.prover.check_connection(
+                server, backend
+            )
+            if check.proof is _Proof.PROVED:
+                if backend.prepare_reuse():
+                    return backend
+                # What was proved of this connection is not true of another.
+                check = instance_prover.InstanceCheck(_Proof.LOST)
+            if check.proof is not _Proof.LOST and (
+                # A late answer to an earlier request may have come instead.
+                is_new or check.proof is not _Proof.NONE
+            ):
+                break
+            await backend.aclose()
         return await self._handle_unproved(
             job, server, progress, backend, check
         )
@@ -73,7 +81,7 @@
         check: instance_prover.InstanceCheck,
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Use the connection only for a stream that begins on it."""
-        has_other_id = check == _OTHER_ID
+        has_other_id = check.proof is _Proof.OTHER and check.started_ms is None
         is_usable = not (
             has_other_id or stream_versions.is_resumed(job, progress)
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -26,6 +26,11 @@
     CHUNKS = 'chunks'
     CONNECTION = 'end of the connection'
 
+    @property
+    def is_shown_by_bytes(self) -> bool:
+        """Whether bytes of the answer show its end."""
+        return self in (Framing.LENGTH, Framing.CHUNKS)
+
 
 class BackendConnectionError(Exception):
     """The connection failed, or the received bytes are not a valid answer."""
@@ -81,6 +86,11 @@
             and self._stream.is_hop_lost
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request was begun on the connection."""
+        return self._state.is_new
+
     def may_carry(self, request_id: str) -> bool:
         """Whether a request may be the next one on the connection."""
         return self._state.may_carry(request_id)
--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from trio import testing
 
 from common import answer_reader
 from common import relay_rig
@@ -80,3 +81,82 @@
     answer = await _read_answer(rig, '/stream/x')
     assert not answer.is_whole
     assert trio.current_time() - started_s < 1.0
+
+
+def _end_plain(rig, is_replaced):
+    """Return a server that names no length and gives no report."""
+
+    async def serve(stream):
+        if not await relay_rig.read_request(stream):
+            return
+        await stream.send_all(_HEAD + b'whole')
+        if is_replaced():
+            rig.end_connections(_HOST)
+        await stream.aclose()
+
+    return serve
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x'])
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_server_without_lengths_is_served_by_a_witness(path, is_replaced):
+    """Guards against servers that can never prove the end of an answer."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        replaced = False
+        rig.add_server('plain', 1, _end_plain(rig, lambda: replaced))
+        rig.dialer.started_ms_by_host[_HOST] = None
+        for _ in range(5):
+            answer = await _read_answer(rig, path)
+            await trio.sleep(5.0)
+            rig.confirm_configuration(relay_rig.encode_configuration())
+        assert (answer.status, answer.body) == (200, b'whole')
+        replaced = is_replaced
+        answer = await _read_answer(rig, path)
+        assert (answer.status == 200) is not is_replaced
+
+    play()
+
+
+def _reset_first_report(rig):
+    """Reset the next connection, as a server without a free one does."""
+    connect = rig.dialer.connect
+    left = 1
+
+    async def connect_full(host, port):
+        nonlocal left
+        stream = await connect(host, port)
+        if left:
+            left -= 1
+            await stream.aclose()
+            near, far = testing.memory_stream_pair()
+            await far.aclose()
+            return near
+        return stream
+
+    rig.dialer.connect = connect_full
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x', '/stream/x'])
+def test_end_is_believed_of_a_server_that_resets_one_report(path):
+    """Guards against whole answers that fail while a server is full."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        async def serve(stream):
+            if not await relay_rig.read_request(stream):
+                return
+            await stream.send_all(_HEAD + relay_rig.encode_event(1))
+            _reset_first_report(rig)
+            await stream.aclose()
+
+        service = 'model' if path == '/stream/x' else 'plain'
+        rig.add_server(service, 1, serve)
+        caller = rig.connect()
+        await caller.send(path, *_PROMPT, 'Connection: close')
+        (answer,) = answer_reader.read_answers(await caller.receive_all())
+        assert answer.status == 200
+        assert answer.is_whole
+
+    play()
