--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -495,7 +495,7 @@
 
 
 @pytest.mark.parametrize('headers', [_RESUMED, ('Last-Event-Id: 2',)])
-def test_stream_does_not_go_on_at_another_service_of_a_moved_route(headers):
+def test_stream_does_not_go_on_at_another_service(headers):
     """Guards against joined streams after a route has moved."""
 
     @relay_rig.with_rig
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -37,7 +37,7 @@
 
 
 @pytest.mark.parametrize('named', [(), ('Resumes: never-sent',)])
-def test_sole_listed_version_is_not_that_of_an_unlisted_process(named):
+def test_sole_version_is_not_that_of_an_unlisted_process(named):
     """Guards against joins while the list lags and the origin is unnamed."""
 
     @relay_rig.with_rig
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -5,10 +5,12 @@
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import answer_writer
 from foxtailrelay_node.internal.relay.http import event_splitter
 from foxtailrelay_node.internal.relay.http import output_flush
+from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay import request_relay
 import hypothesis
@@ -20,6 +22,7 @@
 from cover.relay import test_replaced_instances as replaced
 from cover.relay import test_stream_endings as endings
 from cover.relay import test_stream_versions as versions
+from cover.relay import test_unlisted_processes as unlisted
 
 
 _PROVED = instance_report.InstanceProof.PROVED
@@ -178,6 +181,18 @@
         (instance_report.InstanceReport, 'compare', _always(_PROVED)),
         versions.test_stream_begun_at_an_unlisted_process_goes_on_there_only,
     ),
+    'routes have always led where they lead now': (
+        (route_history.RouteHistory, 'find_services', lambda *args: set()),
+        lambda: versions.test_stream_does_not_go_on_at_another_service(
+            ('Last-Event-Id: 2',)
+        ),
+    ),
+    'origins of equal requests do not contradict a sole version': (
+        (stream_origins.StreamOrigins, '_find_equal', _always(())),
+        lambda: unlisted.test_sole_version_is_not_that_of_an_unlisted_process(
+            ()
+        ),
+    ),
     'an empty answer ends a stream': (
         (
             answer_forwarder.AnswerForwarder,
