Believe ends of processes that have reported before a request

Cause: only the listed start counted, and a reset report was asked for twice. Change: a process that reported before the request was sent and reports the same start after its end has lived on; reports are asked for until 0.6 s have passed. Result: test_end_is_believed_of_an_unlisted_process_that_reported_before, 3 of 6 cases, and test_end_is_believed_of_a_server_that_resets_some_reports fail without the change.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -260,9 +260,13 @@
         if left_s <= _DEADLINE_MARGIN_S:
             return results.Broken(f'{reason} at the deadline')
         server = self._placed.view.server
-        check = await self._context.end_checker.check(server, reason)
+        end_checker = self._context.end_checker
+        check = await end_checker.check(server, reason)
         doubt = check.value
-        if check in _RUNNING:
+        # If the listed process had ended before, another one answered.
+        if check in _RUNNING or end_checker.had_ended(
+            server, self._progress.attempt_sent_at_s
+        ):
             proof = await self._prove_server(reason)
             if proof is instance_report.InstanceProof.PROVED:
                 return None
@@ -285,11 +289,20 @@
     ) -> instance_report.InstanceProof:
         """Return whether the process that began the answer serves on."""
         server, prover = self._placed.view.server, self._context.prover
-        proof = (await prover.check_server(server)).proof
+        sent_at_s = self._progress.attempt_sent_at_s
+        check = await prover.check_server(server)
+        proof = check.proof
         if proof is instance_report.InstanceProof.PROVED:
             self._progress.end_proof = 'report of the instance'
         elif proof is instance_report.InstanceProof.OTHER:
             self._context.end_checker.record_replaced(server, reason)
+            if check.started_ms is not None and sent_at_s > (
+                prover.unlisted.seen_since_s(
+                    server.instance_key, check.started_ms
+                )
+            ):
+                self._progress.end_proof = 'reports of an unlisted process'
+                return instance_report.InstanceProof.PROVED
         elif self._progress.witness is not None and await prover.has_lived_on(
             server, self._progress.witness
         ):
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -9,6 +9,8 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import unframed_servers
+from foxtailrelay_node.internal.relay.backends import unlisted_processes
+from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
@@ -18,7 +20,6 @@
 # Includes a connection through another node.
 _SERVER_TIMEOUT_S = 0.6
 # A full server resets connections that it has accepted.
-_MAX_CONNECTIONS = 2
 _RECONNECT_DELAY_S = 0.03
 _MAX_REPORT_BYTES = 1 << 20
 _Proof = instance_report.InstanceProof
@@ -58,11 +59,15 @@
         Format of the reports.
     metrics : RelayMetrics
         Counts the checks.
+    clock : Clock
+        Clock for the times of reports.
 
     Attributes
     ----------
     unframed : UnframedServers
         Servers whose requests need a witness.
+    unlisted : UnlistedProcesses
+        Processes that have reported in place of listed ones.
     """
 
     def __init__(
@@ -70,12 +75,15 @@
         dialer: server_dialer.ServerDialer,
         report_format: instance_report.ReportFormat,
         metrics: relay_metrics.RelayMetrics,
+        clock: clocks.Clock,
     ) -> None:
         self._dialer = dialer
         self._format = report_format
         self._metrics = metrics
         self._numbers = itertools.count(1)
+        self._clock = clock
         self.unframed = unframed_servers.UnframedServers()
+        self.unlisted = unlisted_processes.UnlistedProcesses()
 
     async def check_connection(
         self,
@@ -94,6 +102,10 @@
                 await backend.aclose()
             raise
         backend.is_instance_proved = check.proof is _Proof.PROVED
+        if check.proof is _Proof.OTHER and check.started_ms is not None:
+            self.unlisted.record(
+                server.instance_key, check.started_ms, self._clock.boot_s()
+            )
         self._metrics.instance_checks.labels(check.proof.name.lower()).inc()
         return check
 
@@ -102,9 +114,8 @@
     ) -> InstanceCheck:
         """Find out whether the listed instance serves new connections."""
         with trio.move_on_after(_SERVER_TIMEOUT_S):
-            for number in range(_MAX_CONNECTIONS):
-                if number:
-                    await trio.sleep(_RECONNECT_DELAY_S)
+            delay_s = _RECONNECT_DELAY_S
+            while True:
                 stream = await self._dialer.connect(server)
                 if isinstance(stream, server_dialer.Unreachable):
                     break
@@ -116,6 +127,8 @@
                         await backend.aclose()
                 if check.proof is not _Proof.LOST:
                     return check
+                await trio.sleep(delay_s)
+                delay_s *= 2
         return InstanceCheck(_Proof.NONE)
 
     async def open_witness(
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -228,6 +228,7 @@
             ),
             report_format.ReportFormat(),
             metrics,
+            self.clock,
         )
         self.timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(self.timer.run)
--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -160,3 +160,57 @@
         assert answer.is_whole
 
     play()
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x', '/stream/x'])
+@pytest.mark.parametrize('is_replaced_again', [False, True])
+def test_end_is_believed_of_an_unlisted_process_that_reported_before(
+    path, is_replaced_again
+):
+    """Guards against servers that are of no use until a list shows them."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        service = 'model' if path == '/stream/x' else 'plain'
+        next_ms = 2
+
+        async def serve(stream):
+            if not await relay_rig.read_request(stream):
+                return
+            await stream.send_all(_HEAD + relay_rig.encode_event(1))
+            rig.dialer.started_ms_by_host[_HOST] = next_ms
+            await stream.aclose()
+
+        rig.add_server(service, 1, serve)
+        rig.dialer.started_ms_by_host[_HOST] = 2
+        answer = await _read_answer(rig, path)
+        assert answer.status == 502 or not answer.is_whole
+        await trio.sleep(2.0)
+        if is_replaced_again:
+            next_ms = 3
+        answer = await _read_answer(rig, path)
+        is_whole = answer.status == 200 and answer.is_whole
+        assert is_whole is not is_replaced_again
+
+    play()
+
+
+def test_end_is_believed_of_a_server_that_resets_some_reports():
+    """Guards against answers that are lost while a server is full."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        async def serve(stream):
+            if not await relay_rig.read_request(stream):
+                return
+            await stream.send_all(_HEAD + relay_rig.encode_event(1))
+            for _ in range(3):
+                _reset_first_report(rig)
+            await stream.aclose()
+
+        rig.add_server('model', 1, serve)
+        answer = await _read_answer(rig, '/stream/x')
+        assert answer.status == 200
+        assert answer.is_whole
+
+    play()
