--- a/tests/cover/relay/test_replaced_instances.py
+++ b/tests/cover/relay/test_replaced_instances.py
@@ -119,10 +119,10 @@
     play()
 
 
-def _reset_first_report(rig):
-    """Reset the next connection, as a server without a free one does."""
+def _reset_reports(rig, count):
+    """Reset the next connections, as a server without a free one does."""
     connect = rig.dialer.connect
-    left = 1
+    left = count
 
     async def connect_full(host, port):
         nonlocal left
@@ -148,7 +148,7 @@
             if not await relay_rig.read_request(stream):
                 return
             await stream.send_all(_HEAD + relay_rig.encode_event(1))
-            _reset_first_report(rig)
+            _reset_reports(rig, 1)
             await stream.aclose()
 
         service = 'model' if path == '/stream/x' else 'plain'
@@ -164,7 +164,7 @@
 
 @pytest.mark.parametrize('path', ['/once/x', '/any/x', '/stream/x'])
 @pytest.mark.parametrize('is_replaced_again', [False, True])
-def test_end_is_believed_of_an_unlisted_process_that_reported_before(
+def test_end_is_believed_of_an_unlisted_process_that_reported(
     path, is_replaced_again
 ):
     """Guards against servers that are of no use until a list shows them."""
@@ -204,8 +204,7 @@
             if not await relay_rig.read_request(stream):
                 return
             await stream.send_all(_HEAD + relay_rig.encode_event(1))
-            for _ in range(3):
-                _reset_first_report(rig)
+            _reset_reports(rig, 3)
             await stream.aclose()
 
         rig.add_server('model', 1, serve)
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -5,6 +5,7 @@
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.backends import unlisted_processes
 from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import answer_writer
@@ -167,6 +168,26 @@
             '/stream/x', 2
         ),
     ),
+    'what a process has reported before is forgotten': (
+        (unlisted_processes.UnlistedProcesses, 'seen_since_s', _always(1e9)),
+        lambda: (
+            replaced.test_end_is_believed_of_an_unlisted_process_that_reported(
+                '/stream/x', False
+            )
+        ),
+    ),
+    'any unlisted process has reported before': (
+        (unlisted_processes.UnlistedProcesses, 'seen_since_s', _always(-1.0)),
+        lambda: (
+            replaced.test_end_is_believed_of_an_unlisted_process_that_reported(
+                '/stream/x', True
+            )
+        ),
+    ),
+    'reports are asked for twice at most': (
+        (instance_prover, '_SERVER_TIMEOUT_S', 0.05),
+        replaced.test_end_is_believed_of_a_server_that_resets_some_reports,
+    ),
     'a witness is not asked after the end': (
         (instance_prover.InstanceProver, 'has_lived_on', _prove_anything),
         lambda: replaced.test_server_without_lengths_is_served_by_a_witness(
