Add a memory budget for what a process holds of others' bytes

Callers' requests ended with their node when an engine sent a body without an end: 60 such answers at once take a node of beyond its memory limit. Every answer was bounded by itself, and nothing bounded the sum.

Nothing uses it yet except metrics and settings.

--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds what a process holds of others' bytes."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
@@ -69,6 +70,8 @@
         Counts attempts and first bytes.
     durations : AnswerDurations
         How long answers take, for requests that arrive in a stop.
+    memory : MemoryBudget
+        Bounds what is held of answers.
     clock : Clock
         Clock for deadlines.
     """
@@ -90,6 +93,7 @@
     demand: demand_meter.DemandMeter
     metrics: relay_metrics.RelayMetrics
     durations: answer_durations.AnswerDurations
+    memory: memory_budget.MemoryBudget
     clock: clocks.Clock
 
     def now_s(self) -> float:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -7,6 +7,7 @@
 import logbook
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.assembly import cluster_duties
 from foxtailrelay_node.internal.relay.assembly import cluster_view
 from foxtailrelay_node.internal.relay.assembly import peering
@@ -50,6 +51,8 @@
         Interfaces to the platform.
     source : SettingsSource
         Source of changed settings.
+    memory : MemoryBudget
+        Bounds what the process holds of others' bytes.
     clock : Clock, optional
         Clock for ages and deadlines.
     """
@@ -59,11 +62,13 @@
         settings: relay_settings.RelaySettings,
         ports: relay_ports.RelayPorts,
         source: settings_watcher.SettingsSource,
+        memory: memory_budget.MemoryBudget,
         clock: clocks.Clock | None = None,
     ) -> None:
         clock = clock or clocks.SystemClock()
         self._settings = settings
         self._clock = clock
+        self._memory = memory
         self._stop_requested = trio.Event()
         self._metrics = relay_metrics.RelayMetrics()
         self._log_queue = log_queue.LogQueue(
@@ -146,6 +151,7 @@
             demand=view.demand,
             metrics=self._metrics,
             durations=answer_durations.AnswerDurations(self._clock.boot_s),
+            memory=self._memory,
             clock=self._clock,
         )
 
@@ -239,6 +245,7 @@
         metrics.is_partitioned.set(self._links.is_partitioned())
         metrics.tunnels_carried.set(self._peers.tunnel_server.open_count)
         metrics.peers_up.set(len(self._peers.gossip.peers.live()))
+        metrics.record_memory(self._memory)
         if state.table is not None:
             metrics.configuration_version.set(state.table.version)
         return metrics.render()
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
@@ -43,6 +43,8 @@
         Whether the whole system starts for the first time.
     cores : float
         CPU capacity; 0.5 is half of a core.
+    memory_bytes : float
+        Memory beyond which the process is killed.
     """
 
     node_id: str
@@ -68,3 +70,4 @@
     duties: frozenset[str]
     is_first_start: bool
     cores: float
+    memory_bytes: float
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -2,6 +2,7 @@
 
 import json
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import instance_prover
@@ -167,6 +168,7 @@
 
     def __init__(self, nursery):
         self.clock = fake_clocks.TrioClock()
+        self.memory = memory_budget.MemoryBudget(1 << 26)
         self.dialer = MemoryDialer(nursery)
         self.nursery = nursery
         self.health = store_health.StoreHealth(self.clock)
@@ -273,6 +275,7 @@
                     time=corrected_clock.CorrectedClock(self.clock),
                     demand=demand_meter.DemandMeter(),
                     metrics=metrics,
+                    memory=self.memory,
                     durations=answer_durations.AnswerDurations(
                         self.clock.boot_s
                     ),
