Bound what a node holds of answers, and share the processor

Callers lost their requests when their node was killed for its memory: each answer that is not streamed was collected up to 4 MiB, in three copies, and nothing bounded the sum over answers. Comments or small chunks without end kept the node busy with one engine.

Answers and incomplete events take leases of the memory budget; an answer without room is forwarded as it arrives, or counts as broken if it has no length. Long bodies are written without a copy.

--- a/packages/node/src/foxtailrelay_node/internal/memory/memory_lease.py
+++ b/packages/node/src/foxtailrelay_node/internal/memory/memory_lease.py
@@ -57,6 +57,13 @@
         self.held_bytes += count
         return True
 
+    def try_resize(self, count: int) -> bool:
+        """Hold as many bytes as given; return False without room."""
+        if count > self.held_bytes:
+            return self.try_hold(count - self.held_bytes)
+        self.release(self.held_bytes - count)
+        return True
+
     def release(self, count: int) -> None:
         """Give bytes back, at most those that are held."""
         count = min(count, self.held_bytes)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -4,6 +4,7 @@
 
 import logbook
 
+from foxtailrelay_node.internal.memory import memory_lease
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import job as jobs
@@ -22,6 +23,7 @@
 # forwarded, so that a truncated one can be retried and the caller gets a whole
 # one.
 _MAX_COLLECTED_BYTES = 1 << 22
+_MAX_BLAMELESS_BYTES = 1 << 18
 # Servers stop at the deadline that they were given, which is in whole
 # milliseconds, and their last bytes take some time.
 _DEADLINE_MARGIN_S = 0.05
@@ -86,28 +88,33 @@
     ) -> results.Result:
         """Collect an answer, then forward it."""
         body = bytearray()
+        lease = self._open_lease()
         while (part := await self._backend.receive_part()) is not None:
+            has_room = lease.try_hold(len(part))
             body += part
-            if len(body) <= _MAX_COLLECTED_BYTES:
+            if has_room and len(body) <= _MAX_COLLECTED_BYTES:
                 continue
-            if self._backend.is_close_delimited:
+            if not self._backend.is_close_delimited:
+                return await self._forward_long(head, body)
+            if has_room:
                 return results.Broken('the answer is too long')
-            return await self._forward_long(head, bytes(body))
+            return self._record_without_room(len(body))
         doubt = await self._find_doubt_of_end()
         if doubt is not None:
             return doubt
         self._record_end()
         self._context.record_usage(self._job, self._progress)
         if not head.is_success:
-            return results.ServerFailure(head, bytes(body))
+            return results.ServerFailure(head, body)
         if self._connection.has_started_answer:
             return results.Broken(
                 'a stream cannot be resumed by an answer without events'
             )
         self._record_first_part()
         await self._connection.send_answer(
-            head.status, head.forwarded_headers, bytes(body)
+            head.status, head.forwarded_headers, body
         )
+        lease.close()
         return results.Done(self._backend.is_close_delimited)
 
     async def forward_events(
@@ -121,9 +128,12 @@
             )
         self._progress.position.begin_answer()
         splitter = event_splitter.EventSplitter()
+        lease = self._open_lease()
         try:
             while (part := await self._backend.receive_part()) is not None:
                 events = splitter.feed(part)
+                if not lease.try_resize(splitter.buffered_bytes):
+                    return self._record_without_room(splitter.buffered_bytes)
                 if events:
                     fault = await self._forward(head, events)
                     if fault:
@@ -216,7 +226,7 @@
         )
 
     async def _forward_long(
-        self, head: answer_head.AnswerHead, body: bytes
+        self, head: answer_head.AnswerHead, body: bytearray
     ) -> results.Result:
         """Forward an answer that is too long to be collected.
 
@@ -230,14 +240,38 @@
         self._record_first_part()
         self._progress.position.is_certain = False
         await self._start_answer(head)
-        part: bytes | None = body
-        while part is not None:
+        await self._connection.send_part(body)
+        self._progress.long_bytes = len(body)
+        body.clear()
+        self._progress.close_answer()
+        while (part := await self._backend.receive_part()) is not None:
             await self._connection.send_part(part)
-            part = await self._backend.receive_part()
+            self._progress.long_bytes += len(part)
         self._record_end()
         await self._connection.finish_answer()
         return results.Done()
 
+    def _open_lease(self) -> memory_lease.MemoryLease:
+        return self._progress.open_answer(
+            self._context.memory, self._placed.view.server.id
+        )
+
+    def _record_without_room(self, count: int) -> results.Broken:
+        _LOG.info(
+            'answer-without-room',
+            extra={
+                'request': self._job.request.request_id,
+                'server': self._placed.view.server.id,
+                'answer_bytes': count,
+                'effect': 'the answer counts as broken',
+            },
+        )
+        return results.Broken(
+            f'the node has no memory for {count} bytes of the answer',
+            # One of many small answers is not what uses the memory up.
+            is_without_room=count <= _MAX_BLAMELESS_BYTES,
+        )
+
     async def _start_answer(self, head: answer_head.AnswerHead) -> None:
         if not self._connection.has_started_answer:
             self._progress.stream_head = head
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -29,6 +29,8 @@
 _MIN_REMAINING_S = 0.02
 # Delay before the retry of a request that another server can probably accept.
 _MIN_RETRY_AFTER_S = 0.1
+# Of an answer of this length that has no end at its deadline, none is to come.
+_UNENDING_BYTES = 1 << 24
 _EVENT_BY_RESULT = {
     results.Done: messages.PlaceEvent.DONE,
     results.NotRun: messages.PlaceEvent.FAILED,
@@ -69,6 +71,7 @@
         try:
             return await self._run(job, progress, connection)
         finally:
+            progress.close_answer()
             self._context.demand.record_end(job.service)
 
     async def _run(
@@ -316,6 +319,7 @@
         progress.attempt_deadline_s = deadline_s
         progress.attempt_first_event_at_s = None
         progress.end_proof = ''
+        progress.long_bytes = 0
         progress.position.begin_answer()
         self._context.loads.record_sent(
             server, job.request.prompt_parts, placed.uncached_tokens
@@ -369,7 +373,7 @@
             case results.Done():
                 self._context.loads.record_success(server)
             case results.NotRun(reason=reason) | results.Broken(reason=reason):
-                if not is_link_cut and not _is_quiet_request(result):
+                if not is_link_cut and _blames_server(result):
                     self._context.loads.record_failure(server)
                 fields['reason'] = reason
                 if isinstance(result, results.Broken):
@@ -390,8 +394,10 @@
         """Record an attempt that ended by the deadline or a disconnect."""
         server = placed.view.server
         now_s = self._context.now_s()
-        if not has_answered and now_s >= job.deadline_s:
-            # The server accepted the request and never answered.
+        if now_s >= job.deadline_s and (
+            not has_answered or progress.long_bytes > _UNENDING_BYTES
+        ):
+            # The server accepted the request and never ended its answer.
             self._context.loads.record_failure(server)
             if self._context.links.has_heard_since(progress.attempt_sent_at_s):
                 # Otherwise this node's own links may be cut, which must not
@@ -517,6 +523,12 @@
     return isinstance(result, results.NotRun) and result.is_quiet_request
 
 
+def _blames_server(result: results.NotRun | results.Broken) -> bool:
+    if isinstance(result, results.Broken):
+        return not result.is_without_room
+    return not result.is_quiet_request
+
+
 def _is_rejected(result: results.Result) -> bool:
     return isinstance(result, results.NotRun) and result.is_rejected
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -6,6 +6,9 @@
 from foxtailrelay_core import messages
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.backends import backend_server
@@ -62,6 +65,11 @@
     end_proof : str
         What shows that the answer of the current attempt is whole; empty if
         it is not.
+    long_bytes : int
+        Bytes that were forwarded of an answer that is too long to be
+        collected.
+    answer_lease : MemoryLease or None
+        The memory of the last answer that was collected.
     """
 
     position: stream_position.StreamPosition = dataclasses.field(
@@ -85,6 +93,8 @@
     attempt_deadline_s: float = math.inf
     attempt_first_event_at_s: float | None = None
     end_proof: str = ''
+    long_bytes: int = 0
+    answer_lease: memory_lease.MemoryLease | None = None
     _last_part_at_s: float = 0.0
 
     @property
@@ -104,6 +114,21 @@
             with trio.CancelScope(shield=True):
                 await witness.aclose()
 
+    def open_answer(
+        self, memory: memory_budget.MemoryBudget, server_id: str
+    ) -> memory_lease.MemoryLease:
+        """Return a lease for an answer, in place of the one before."""
+        self.close_answer()
+        self.answer_lease = memory.open_lease(
+            purposes.Purpose.ANSWER, server_id
+        )
+        return self.answer_lease
+
+    def close_answer(self) -> None:
+        """Give back the memory of the last answer."""
+        if self.answer_lease is not None:
+            self.answer_lease.close()
+
     def may_use(self, server: backend_server.BackendServer) -> bool:
         """Whether a server may get the request."""
         return self.requirement is None or self.requirement.allows(server)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
@@ -48,10 +48,14 @@
         Cause, for the log and the caller.
     is_disconnect : bool
         Whether the connection ended before the answer did.
+    is_without_room : bool
+        Whether this node had no memory for the answer, which says nothing
+        about the server.
     """
 
     reason: str
     is_disconnect: bool = False
+    is_without_room: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/answer_writer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/answer_writer.py
@@ -13,6 +13,8 @@
 # A caller that reads slowly gets its answer also after the deadline, but one
 # that does not read at all must not hold it for good.
 _STALL_TIMEOUT_S = 15.0
+# Longer answers are written piece by piece, without a copy of the body.
+_MAX_JOINED_BYTES = 65536
 
 
 class CallerDisconnected(Exception):
@@ -127,18 +129,24 @@
         if is_last and self.deadline_scope is not None:
             self.deadline_scope.deadline = math.inf
         self.state.begin_write(is_last)
-        await self._write(
-            b''.join(self._http.send(event) or b'' for event in events)
-        )
-
-    async def _write(self, data: bytes) -> None:
+        pieces = [
+            piece
+            for event in events
+            for piece in self._http.send_with_data_passthrough(event) or ()
+        ]
+        if sum(map(len, pieces)) <= _MAX_JOINED_BYTES:
+            pieces = [b''.join(pieces)]
+        await self._write(*pieces)
+
+    async def _write(self, *pieces: bytes) -> None:
         try:
-            await byte_writer.write(
-                self._stream,
-                data,
-                self.state.record_written,
-                _STALL_TIMEOUT_S,
-            )
+            for piece in pieces:
+                await byte_writer.write(
+                    self._stream,
+                    piece,
+                    self.state.record_written,
+                    _STALL_TIMEOUT_S,
+                )
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerDisconnected(str(error)) from error
         self.state.end_write()
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -5,11 +5,14 @@
 import h11
 import trio
 
+from foxtailrelay_node.internal.relay.http import bulk_turns
 from foxtailrelay_node.internal.relay.http import request_state
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.tunnels import tunnel_stream
 
-_READ_BYTES = 65536
+_READ_BYTES = 16384
+# Work on the bytes of one read, in events of h11, before others have a turn.
+_EVENTS_PER_TURN = 64
 _MAX_HEAD_BYTES = 65536
 # Bodies up to this length fit into the smallest send window, so sending them
 # first cannot block on a server that answers early.
@@ -47,6 +50,8 @@
     ----------
     stream : trio.abc.Stream
         The open connection.
+    turns : BulkTurns, optional
+        Shared with the connections that compete for the processor.
 
     Attributes
     ----------
@@ -56,8 +61,14 @@
         Whether the listed instance has shown that it is at the other end.
     """
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        turns: bulk_turns.BulkTurns | None = None,
+    ) -> None:
         self._stream = stream
+        self._turns = turns or bulk_turns.BulkTurns()
+        self._events_left = _EVENTS_PER_TURN
         self._http = _new_http()
         self.framing = Framing.NONE
         self.is_instance_proved = False
@@ -198,7 +209,7 @@
             f'received {_MAX_INTERIM_ANSWERS} interim answers before the head'
         )
 
-    async def receive_part(self) -> bytes | None:
+    async def receive_part(self) -> bytes | bytearray | None:
         """Receive a part of the body, or None at its end.
 
         Raises
@@ -208,7 +219,7 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return event.data
         if isinstance(event, h11.EndOfMessage):
             self._state.record_answer_end()
             if self.is_close_delimited:
@@ -248,10 +259,16 @@
         """Return the next event of the answer."""
         try:
             while True:
+                if self._events_left <= 0:
+                    await self._turns.wait()
+                    self._events_left = _EVENTS_PER_TURN
+                self._events_left -= 1
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(_READ_BYTES)
                     self._has_received_end = not data
+                    is_full = len(data) == _READ_BYTES
+                    self._events_left = 0 if is_full else _EVENTS_PER_TURN
                     self._http.receive_data(data)
                 elif isinstance(event, h11.ConnectionClosed):
                     raise BackendDisconnected('closed by the server')
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_pool.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_pool.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
+from foxtailrelay_node.internal.relay.http import bulk_turns
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
 
 # Backend servers close idle connections after a few seconds; a shorter limit
@@ -38,6 +39,7 @@
     ) -> None:
         self._dialer = dialer
         self._now_s = now_s
+        self._turns = bulk_turns.BulkTurns()
         self._idle_by_key: dict[
             tuple[str, int], collections.deque[_IdleConnection]
         ] = {}
@@ -78,7 +80,7 @@
         result = await self._dialer.connect(server)
         if isinstance(result, server_dialer.Unreachable):
             return result
-        return backend_connection.BackendConnection(result)
+        return backend_connection.BackendConnection(result, self._turns)
 
     async def release(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
@@ -9,6 +9,9 @@
 _MAX_ID_DIGITS = 18
 _MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 1 << 20
+# Servers send a comment every few seconds, to keep a connection open.
+MAX_COMMENTS = 1000
+MAX_COMMENT_BYTES = 1 << 18
 
 
 class Event(typing.NamedTuple):
@@ -39,6 +42,10 @@
     """An event exceeds the maximum length."""
 
 
+class TooManyComments(MalformedEvent):
+    """A server sends comments without end in place of events."""
+
+
 class EventSplitter:
     """Buffers received bytes and returns complete events.
 
@@ -53,6 +60,13 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._comment_count = 0
+        self._comment_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of an event whose end is missing."""
+        return len(self._buffer)
 
     @property
     def has_partial_event(self) -> bool:
@@ -71,8 +85,8 @@
         Raises
         ------
         MalformedEvent
-            If an incomplete event exceeds the maximum length, or an id has
-            too many digits.
+            If an incomplete event exceeds the maximum length, an id has too
+            many digits, or comments take the place of events.
         """
         # An end that was not found before includes a byte of the new data.
         first_end = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
@@ -81,13 +95,30 @@
         start = 0
         for match in _EVENT_END.finditer(self._buffer, first_end):
             event_data = bytes(self._buffer[start : match.end()])
-            events.append(Event(_parse_id(event_data), event_data))
+            event = Event(_parse_id(event_data), event_data)
+            self._count_comments(event)
+            events.append(event)
             start = match.end()
         del self._buffer[:start]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f'{len(self._buffer)} bytes without an end')
         return events
 
+    def _count_comments(self, event: Event) -> None:
+        if event.id is not None or event.is_message:
+            self._comment_count = self._comment_bytes = 0
+            return
+        self._comment_count += 1
+        self._comment_bytes += len(event.data)
+        if (
+            self._comment_count > MAX_COMMENTS
+            or self._comment_bytes > MAX_COMMENT_BYTES
+        ):
+            raise TooManyComments(
+                f'{self._comment_count} comments of {self._comment_bytes} '
+                'bytes without an event'
+            )
+
 
 def _parse_id(data: bytes) -> int | None:
     """Return the number of an event; the last id line of an event counts."""
