Test nodes and the soak with answers that never end

The soak lets engines send bodies, chunks and comments without end, and finds nodes that exceed the memory of their settings.

--- a/packages/node/src/foxtailrelay_node/internal/memory/memory_budget.py
+++ b/packages/node/src/foxtailrelay_node/internal/memory/memory_budget.py
@@ -6,14 +6,14 @@
 from foxtailrelay_node.internal.memory import purpose as purposes
 
 # The program, its libraries and its own state.
-_PROCESS_BYTES = 96 << 20
+_PROCESS_BYTES = 80 << 20
 # The rest is for copies that libraries make, and for buffers of the kernel.
 _BUDGET_SHARE = 0.4
-_MIN_BUDGET_BYTES = 8 << 20
+_MIN_BUDGET_BYTES = 12 << 20
 _SHARE_BY_PURPOSE = {
-    purposes.Purpose.REQUEST: 0.3,
-    purposes.Purpose.ANSWER: 0.4,
-    purposes.Purpose.PLATFORM: 0.2,
+    purposes.Purpose.REQUEST: 0.25,
+    purposes.Purpose.ANSWER: 0.35,
+    purposes.Purpose.PLATFORM: 0.3,
     purposes.Purpose.PEER: 0.1,
 }
 
--- a/soak/node_processes.py
+++ b/soak/node_processes.py
@@ -21,6 +21,7 @@
 # Bounds in the nodes' settings.
 DRAIN_MS = 2000
 REVOKE_MS = 5000
+_MEMORY_MB = 300
 # A log line with one of these shows a message that a node cannot read.
 _MESSAGE_MARKS = (
     'peer-report-unreadable',
@@ -33,6 +34,7 @@
 _FAULT_MARKS = ('Traceback (most recent call last)', 'request-crashed')
 _START = '{"event": "release-started"'
 
+_PEAK = re.compile(r'^VmHWM:\s+(\d+) kB', re.MULTILINE)
 _EXCEPTION = re.compile(r'[ |]*(\w+\.)*\w+(Error|Exception|Group|[A-Z]\w+): ')
 
 
@@ -130,6 +132,7 @@
             if process.poll() is not None
             and process.pid not in self._expected_ends
         ]
+        faults += self._find_large()
         newest = self.builds[-1].start_line()
         for host in self.process_by_host:
             lines = self._log_path(host).read_text(errors='replace')
@@ -148,6 +151,16 @@
                 ]
         return faults
 
+    def _find_large(self) -> list[ProcessFault]:
+        """Return the processes that a platform would have killed."""
+        faults = []
+        for host, process in self.process_by_host.items():
+            peak_mb = read_peak_mb(process.pid)
+            if process.poll() is None and peak_mb > _MEMORY_MB:
+                text = f'{host} used {peak_mb:.0f} of {_MEMORY_MB} MB'
+                faults.append(ProcessFault(text, self.runs_production(host)))
+        return faults
+
     def stop(self) -> None:
         """Kill all processes."""
         for process in self.process_by_host.values():
@@ -173,6 +186,7 @@
                 'usage-late-s': 8,
             },
             'provider': {'address': store},
+            'limits': {'memory-mb': _MEMORY_MB},
             'cloud': {'address': cloud, 'duties': ['usage_report']},
         }
         settings['clock-offset-file'] = str(self.clock_path(host))
@@ -185,6 +199,16 @@
         return self._folder / f'{host}.log'
 
 
+def read_peak_mb(pid: int) -> float:
+    """Return the largest memory of a process; 0 if it has ended."""
+    try:
+        text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    except OSError:
+        return 0.0
+    found = _PEAK.search(text)
+    return int(found.group(1)) / 1024 if found else 0.0
+
+
 def split_by_start(lines: list[str]) -> dict[str, list[str]]:
     """Return the lines that each release wrote."""
     lines_by_start: dict[str, list[str]] = {}
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -65,6 +65,7 @@
             self._deadlines,
             self._early_answers,
             self._pieces,
+            self._endless_answers,
         )
 
     async def _breaks_and_resumes(self, nursery) -> None:
@@ -113,6 +114,19 @@
         fault = self._rng.choice([_FAULTS.ODD_PIECES, _FAULTS.BURSTS])
         await self._inject_some(fault, _SHORT_S)
 
+    async def _endless_answers(self, nursery) -> None:
+        """Let engines send without end, in all of their answers."""
+        server_ids = sorted(self._cluster.engine_by_id)
+        chosen = self._rng.sample(server_ids, self._rng.choice([1, 2]))
+        form = self._rng.choice(engine_faults.ENDLESS_FORMS)
+        self._record(f'answers of {", ".join(chosen)} are {form.value}')
+        for server_id in chosen:
+            self._cluster.engine_by_id[server_id].form = form
+        await trio.sleep(self._rng.uniform(*_SHORT_S))
+        for server_id in chosen:
+            server = self._cluster.engine_by_id[server_id]
+            server.form = engine_faults.AnswerForm.FRAMED
+
     async def _inject_some(
         self, fault: engine_faults.EngineFault, seconds: tuple[float, float]
     ) -> None:
