Begin streams at once at servers that give no reports

What callers saw: at servers that answer GET /-/report with a stream, or not at all, most resumable streams with little time were refused (503) or ended at their deadline (504).

Cause: each stream waited 0.25 s for a report before its request, and held its place at the server meanwhile, although the server had never given one. An endless report was read up to 1 MiB, event by event, each time.

A node now counts the requests in a row without a report. After three, streams begin at once as uncertain, and the server is asked again without a caller, ever more seldom. One report undoes it; of an instance that has reported, requests that were under way together count once, and lost connections do not count. A caller waits for half of its time at most. The body of a report is read within a lease and 128 KiB; what exceeds it is no report, and its connection is closed.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -6,22 +6,32 @@
 from foxtailrelay_core import errors
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.backends import missing_reports
 from foxtailrelay_node.internal.relay.backends import unframed_servers
 from foxtailrelay_node.internal.relay.backends import unlisted_processes
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay import relay_metrics
+from foxtailrelay_node.internal.relay import ticks
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
 
 # Many times a round trip between data centres; the caller waits meanwhile.
-_REPORT_TIMEOUT_S = 0.25
+REPORT_TIMEOUT_S = 0.25
 # Includes a connection through another node.
 _SERVER_TIMEOUT_S = 0.6
 # A full server resets connections that it has accepted.
 _RECONNECT_DELAY_S = 0.03
-_MAX_REPORT_BYTES = 1 << 20
+# Lists the runs of an engine: a thousand fit.
+_MAX_REPORT_BYTES = 128 << 10
+# Of the objects that hold a part; a body of tiny parts reaches the limit soon.
+_PART_OVERHEAD_BYTES = 128
+_RECHECK_INTERVAL_S = 1.0
+_MAX_RECHECKS = 8
 _Proof = instance_report.InstanceProof
 
 
@@ -61,9 +71,13 @@
         Counts the checks.
     clock : Clock
         Clock for the times of reports.
+    memory : MemoryBudget
+        Bounds what is held of reports.
 
     Attributes
     ----------
+    missing : MissingReports
+        Servers that give no reports.
     unframed : UnframedServers
         Servers whose requests need a witness.
     unlisted : UnlistedProcesses
@@ -76,19 +90,32 @@
         report_format: instance_report.ReportFormat,
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._dialer = dialer
+        self._memory = memory
         self._format = report_format
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._clock = clock
+        self.missing = missing_reports.MissingReports()
         self.unframed = unframed_servers.UnframedServers()
         self.unlisted = unlisted_processes.UnlistedProcesses()
 
+    async def run(self) -> None:
+        """Ask servers in use again that give no reports."""
+        while True:
+            await ticks.sleep(_RECHECK_INTERVAL_S)
+            due = self.missing.take_due(self._clock.boot_s(), _MAX_RECHECKS)
+            async with trio.open_nursery() as nursery:
+                for server in due:
+                    nursery.start_soon(self._check_connections, server)
+
     async def check_connection(
         self,
         server: backend_server.BackendServer,
         backend: backend_connection.BackendConnection,
+        timeout_s: float = REPORT_TIMEOUT_S,
     ) -> InstanceCheck:
         """Find out whether a connection leads to the listed instance.
 
@@ -96,7 +123,7 @@
         reusable.  A cancelled check closes it.
         """
         try:
-            check = await self._ask(server, backend)
+            check = await self._ask(server, backend, timeout_s)
         except trio.Cancelled:
             with trio.CancelScope(shield=True):
                 await backend.aclose()
@@ -113,6 +140,15 @@
         self, server: backend_server.BackendServer
     ) -> InstanceCheck:
         """Find out whether the listed instance serves new connections."""
+        if self.missing.is_unanswered(server.instance_key):
+            self.missing.request_check(server)
+            return InstanceCheck(_Proof.NONE)
+        return await self._check_connections(server)
+
+    async def _check_connections(
+        self, server: backend_server.BackendServer
+    ) -> InstanceCheck:
+        """Ask on new connections until one does not end before a report."""
         with trio.move_on_after(_SERVER_TIMEOUT_S):
             delay_s = _RECONNECT_DELAY_S
             while True:
@@ -140,6 +176,9 @@
         request's connection has ended is the one that answered the request,
         since the address had no other process meanwhile.
         """
+        if self.missing.is_unanswered(server.instance_key):
+            self.missing.request_check(server)
+            return None
         with trio.move_on_after(_SERVER_TIMEOUT_S):
             stream = await self._dialer.connect(server)
             if isinstance(stream, server_dialer.Unreachable):
@@ -173,38 +212,75 @@
         self,
         server: backend_server.BackendServer,
         backend: backend_connection.BackendConnection,
+        timeout_s: float = REPORT_TIMEOUT_S,
+    ) -> InstanceCheck:
+        asked_at_s = self._clock.boot_s()
+        check = await self._receive_report(server, backend, timeout_s)
+        key = server.instance_key
+        if check.proof in (_Proof.PROVED, _Proof.OTHER):
+            self.missing.record_report(key)
+        elif check.proof is _Proof.NONE:
+            self.missing.record_miss(
+                key, asked_at_s, self._clock.boot_s(), check.has_answered
+            )
+        return check
+
+    async def _receive_report(
+        self,
+        server: backend_server.BackendServer,
+        backend: backend_connection.BackendConnection,
+        timeout_s: float,
     ) -> InstanceCheck:
         request = self._format.encode_request(server)
-        body = bytearray()
-        try:
-            with trio.move_on_after(_REPORT_TIMEOUT_S) as scope:
-                await backend.send(
-                    # No id that a caller can send: headers have no line ends.
-                    f'report\n{next(self._numbers)}',
-                    request.method,
-                    request.target,
-                    request.headers,
-                    b'',
+        lease = self._memory.open_lease(purposes.Purpose.PLATFORM, server.id)
+        with lease:
+            try:
+                with trio.move_on_after(timeout_s) as scope:
+                    await backend.send(
+                        # No id that a caller can send: headers have no line
+                        # ends.
+                        f'report\n{next(self._numbers)}',
+                        request.method,
+                        request.target,
+                        request.headers,
+                        b'',
+                    )
+                    head = await backend.receive_head()
+                    body = await _receive_body(backend, lease)
+            except backend_connection.BackendDisconnected:
+                return InstanceCheck(_Proof.LOST)
+            except backend_connection.BackendConnectionError:
+                return InstanceCheck(_Proof.NONE)
+            if scope.cancelled_caught:
+                return InstanceCheck(_Proof.NONE)
+            if body is None:
+                # The rest would arrive, and be buffered, for nobody.
+                await backend.aclose()
+                return InstanceCheck(_Proof.NONE)
+            try:
+                report = self._format.decode_answer(
+                    server, head.status_code, list(head.headers), body
                 )
-                head = await backend.receive_head()
-                while (part := await backend.receive_part()) is not None:
-                    body += part
-                    if len(body) > _MAX_REPORT_BYTES:
-                        return InstanceCheck(_Proof.NONE)
-        except backend_connection.BackendDisconnected:
-            return InstanceCheck(_Proof.LOST)
-        except backend_connection.BackendConnectionError:
-            return InstanceCheck(_Proof.NONE)
-        if scope.cancelled_caught:
-            return InstanceCheck(_Proof.NONE)
-        try:
-            report = self._format.decode_answer(
-                server, head.status_code, list(head.headers), bytes(body)
-            )
-        except errors.DECODE_ERRORS:
-            report = None
+            except errors.DECODE_ERRORS:
+                report = None
         if report is None:
             return InstanceCheck(_Proof.NONE, has_answered=True)
         return InstanceCheck(
             report.compare(server), report.started_ms, has_answered=True
         )
+
+
+async def _receive_body(
+    backend: backend_connection.BackendConnection,
+    lease: memory_lease.MemoryLease,
+) -> bytes | None:
+    """Return the body of a report; None if it is too long or has no room."""
+    body = bytearray()
+    while (part := await backend.receive_part()) is not None:
+        count = len(part) + _PART_OVERHEAD_BYTES
+        if lease.held_bytes + count > _MAX_REPORT_BYTES:
+            return None
+        if not lease.try_hold(count):
+            return None
+        body += part
+    return bytes(body)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/server_connector.py
@@ -14,6 +14,8 @@
 
 _LOG = logbook.Logger('foxtailrelay.requests')
 _REPLACED = 'a new connection reached another instance'
+# The rest of a caller's time is for the server's answer.
+_REPORT_SHARE = 0.5
 _Proof = instance_report.InstanceProof
 
 
@@ -41,8 +43,9 @@
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Open a connection, or return why the server cannot be used."""
         progress.instance_check = None
-        if self._context.prover.unframed.needs_witness(server.instance_key):
-            progress.witness = await self._context.prover.open_witness(server)
+        prover = self._context.prover
+        if prover.unframed.needs_witness(server.instance_key):
+            progress.witness = await prover.open_witness(server)
         # A request that must not be retried needs a new connection, since the
         # server may have closed an idle one.
         for may_reuse in (job.access.route.is_idempotent, False):
@@ -53,9 +56,17 @@
                 or backend.is_instance_proved
             ):
                 return backend
+            if prover.missing.are_missing(server.instance_key):
+                prover.missing.request_check(server)
+                if not backend.is_new:
+                    await backend.aclose()
+                    continue
+                return await self._use_unreported(
+                    job, server, progress, backend
+                )
             is_new = backend.is_new
-            check = await self._context.prover.check_connection(
-                server, backend
+            check = await prover.check_connection(
+                server, backend, self._choose_timeout_s(job)
             )
             if check.proof is _Proof.PROVED:
                 if backend.prepare_reuse():
@@ -81,6 +92,51 @@
         check: instance_prover.InstanceCheck,
     ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
         """Use the connection only for a stream that begins on it."""
+        is_usable = self._is_usable(job, server, progress, check)
+        if check.proof is _Proof.OTHER:
+            self._context.end_checker.record_replaced(server, _REPLACED)
+        if not is_usable:
+            await backend.aclose()
+            return server_dialer.Unreachable(
+                check.proof.value, is_server_failure=False
+            )
+        progress.instance_check = check
+        if backend.prepare_reuse():
+            return backend
+        await backend.aclose()
+        progress.instance_check = instance_prover.InstanceCheck(_Proof.NONE)
+        return await self._acquire(job, server, may_reuse=False)
+
+    async def _use_unreported(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        backend: backend_connection.BackendConnection,
+    ) -> backend_connection.BackendConnection | server_dialer.Unreachable:
+        """Use a connection on which the server was not asked."""
+        check = instance_prover.InstanceCheck(_Proof.NONE)
+        if not self._is_usable(job, server, progress, check):
+            await backend.aclose()
+            return server_dialer.Unreachable(
+                check.proof.value, is_server_failure=False
+            )
+        progress.instance_check = check
+        return backend
+
+    def _choose_timeout_s(self, job: jobs.Job) -> float:
+        """Return how long a caller can wait for a report."""
+        left_s = max(0.0, job.deadline_s - self._context.now_s())
+        return min(instance_prover.REPORT_TIMEOUT_S, left_s * _REPORT_SHARE)
+
+    @staticmethod
+    def _is_usable(
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        progress: progresses.Progress,
+        check: instance_prover.InstanceCheck,
+    ) -> bool:
+        """Whether a stream may begin at an instance that is not proved."""
         has_other_id = check.proof is _Proof.OTHER and check.started_ms is None
         is_usable = not (
             has_other_id or stream_versions.is_resumed(job, progress)
@@ -100,19 +156,7 @@
                 else 'another server is used',
             },
         )
-        if check.proof is _Proof.OTHER:
-            self._context.end_checker.record_replaced(server, _REPLACED)
-        if not is_usable:
-            await backend.aclose()
-            return server_dialer.Unreachable(
-                check.proof.value, is_server_failure=False
-            )
-        progress.instance_check = check
-        if backend.prepare_reuse():
-            return backend
-        await backend.aclose()
-        progress.instance_check = instance_prover.InstanceCheck(_Proof.NONE)
-        return await self._acquire(job, server, may_reuse=False)
+        return is_usable
 
     async def _acquire(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -114,7 +114,7 @@
         servers = server_dialer.ServerDialer(self._links, self._peers.tunnels)
         self._pool = backend_pool.BackendPool(servers, clock.boot_s)
         self._prover = instance_prover.InstanceProver(
-            servers, ports.report_format, self._metrics, clock
+            servers, ports.report_format, self._metrics, clock, memory
         )
         self._relay = request_relay.RequestRelay(
             self._view.state,
@@ -183,6 +183,7 @@
                 *((f.topic, f.run) for f in self._view.followers),
                 ('peers', self._peers.run),
                 ('end checks', self._end_checker.run),
+                ('report checks', self._prover.run),
                 ('server probes', self._links.run),
                 ('duties', self._duties.run),
                 ('spend record', self._spend_record.run),
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -231,7 +231,9 @@
             report_format.ReportFormat(),
             metrics,
             self.clock,
+            self.memory,
         )
+        nursery.start_soon(self.prover.run)
         self.timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(self.timer.run)
         wire = header_format.HeaderFormat()
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -5,6 +5,7 @@
 from foxtailrelay_node.internal.relay.attempts import instance_prover
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.backends import missing_reports
 from foxtailrelay_node.internal.relay.backends import unlisted_processes
 from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.http import answer_state
@@ -20,6 +21,7 @@
 from cover.relay import test_answer_writes as writes
 from cover.relay import test_closing_answers as closings
 from cover.relay import test_doubted_ends as ends
+from cover.relay import test_missing_reports as missing
 from cover.relay import test_replaced_instances as replaced
 from cover.relay import test_stream_endings as endings
 from cover.relay import test_stream_versions as versions
@@ -184,6 +186,24 @@
             )
         ),
     ),
+    'each stream waits for a report': (
+        (missing_reports.MissingReports, 'are_missing', _always(False)),
+        missing.test_streams_begin_at_once_at_a_silent_server,
+    ),
+    'a server without reports is never asked again': (
+        (missing_reports.MissingReports, 'take_due', _always(())),
+        missing.test_server_that_reports_again_is_asked_again,
+    ),
+    'one lost answer shows that a server gives no reports': (
+        (missing_reports, '_MIN_MISSES', 1),
+        missing.test_pause_of_a_server_that_reports_is_no_missing_report,
+    ),
+    'reports are read without a limit': (
+        (instance_prover, '_MAX_REPORT_BYTES', 1 << 30),
+        lambda: missing.test_endless_report_is_none_and_holds_no_memory(
+            missing.send_endlessly
+        ),
+    ),
     'reports are asked for twice at most': (
         (instance_prover, '_SERVER_TIMEOUT_S', 0.05),
         replaced.test_end_is_believed_of_a_server_that_resets_some_reports,
