Bound what a node keeps of a keyed topic

A writer that puts new keys, or large values, into a keyed topic without end filled the copies of all nodes: the store gives pages as long as a key follows, and a copy kept all keys, and the last values of 2,000 removed ones (up to 256 KiB each).

A copy now keeps 8 MiB with 512 bytes for each record's objects, and 2 MiB of removed values. It keeps what it has; a new key without room is left out, a value that has grown too large removes its key, since the old value must not stay in force. The topic is followed on, is read again once half of the room is free, and is not passed on to peers meanwhile; topic-truncated tells of it.

--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -326,6 +326,9 @@
         if follower is None or not follower.view.is_loaded:
             return None
         view = follower.view
+        if view.is_truncated:
+            # Which records are left out differs between nodes.
+            return None
         is_full, records = view.changes_since(want.from_offset)
         if sum(len(r.value or b'') for r in records) > _MAX_TOPIC_BYTES:
             # The peer reads the store itself once its copy is too old.
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/keyed_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/keyed_view.py
@@ -10,6 +10,7 @@
 _Record = topic_store.KeyedRecord
 # Tombstones are kept so that peers with an older copy receive deletions.
 _MAX_TOMBSTONES = 2000
+_MAX_REMOVED_BYTES = 2 << 20
 
 
 class KeyedView:
@@ -19,11 +20,16 @@
     restored from an older copy shows older values again, in a later era; then
     the order that writers give to their values decides.
 
+    Writers without end cannot fill the memory: the copy keeps what it has,
+    and leaves out records for which there is no more room.
+
     Parameters
     ----------
     order_of : callable
         Returns the place of a record among the values of its key, or None if
         its value shows none.
+    max_bytes : int
+        How much is kept.
 
     Attributes
     ----------
@@ -32,11 +38,20 @@
     as_of_s : float
         Last time on the boot clock at which the copy is confirmed to have
         been current.
+    is_truncated : bool
+        Whether records were left out.
+    kept_bytes : int
+        How much is kept.
     """
 
     def __init__(
-        self, order_of: typing.Callable[[_Record], typing.Any] = lambda _: None
+        self,
+        order_of: typing.Callable[[_Record], typing.Any] = lambda _: None,
+        max_bytes: int = topic_store.MAX_TOPIC_BYTES,
     ) -> None:
+        self.is_truncated = False
+        self.kept_bytes = 0
+        self._max_bytes = max_bytes
         self.end = -1
         self.as_of_s = -math.inf
         self._order_of = order_of
@@ -45,6 +60,12 @@
         self._first_change_offset = 0
         # Last values of removed keys, to recognise them in an older copy.
         self._removed_by_key: dict[str, _Record] = {}
+        self._removed_bytes = 0
+
+    @property
+    def has_room_again(self) -> bool:
+        """Whether records that were left out should be read again."""
+        return self.is_truncated and self.kept_bytes < self._max_bytes / 2
 
     @property
     def is_loaded(self) -> bool:
@@ -61,7 +82,8 @@
         """Apply a snapshot and return the records that it changed.
 
         A snapshot that is older than the copy is ignored, except for values
-        that are newer than the copy's because the store was restored.
+        that are newer than the copy's because the store was restored.  One
+        that is truncated does not show which keys were removed.
         """
         if snapshot.end < self.end:
             return self._recover_values(snapshot.records)
@@ -73,7 +95,7 @@
         changed = [
             _Record(key, snapshot.end, None)
             for key in self._record_by_key
-            if key not in current
+            if key not in current and not snapshot.is_truncated
         ]
         changed += [
             record
@@ -83,8 +105,8 @@
         ]
         self._first_change_offset = snapshot.end
         self._tombstone_by_key.clear()
-        self._apply(changed, snapshot.end, as_of_s)
-        return changed
+        self.is_truncated = snapshot.is_truncated
+        return self._apply(changed, snapshot.end, as_of_s)
 
     def extend(
         self, changes: topic_store.Changes, as_of_s: float
@@ -99,8 +121,7 @@
         ]
         if not changes.is_complete:
             as_of_s = self.as_of_s
-        self._apply(added, changes.end, as_of_s)
-        return added
+        return self._apply(added, changes.end, as_of_s)
 
     def changes_since(
         self, offset: int
@@ -133,9 +154,7 @@
             < store_position.era_of(self._record_by_key[record.key].offset)
             and self._supersedes(record)
         ]
-        for record in recovered:
-            self._record_by_key[record.key] = record
-        return recovered
+        return [self._keep(record) for record in recovered]
 
     def _supersedes(self, record: _Record) -> bool:
         """Whether a record is newer than the copy's record of its key."""
@@ -163,21 +182,52 @@
 
     def _apply(
         self, records: typing.Iterable[_Record], end: int, as_of_s: float
-    ) -> None:
+    ) -> list[_Record]:
+        """Apply records; return what changed for the listener."""
+        applied = []
         for record in records:
-            if record.value is None:
-                removed = self._record_by_key.pop(record.key, None)
-                if removed is not None:
-                    self._removed_by_key[record.key] = removed
-                self._tombstone_by_key[record.key] = record
-            else:
-                self._tombstone_by_key.pop(record.key, None)
-                self._removed_by_key.pop(record.key, None)
-                self._record_by_key[record.key] = record
+            is_known = record.key in self._record_by_key
+            kept = self._keep(record)
+            if is_known or kept is record:
+                applied.append(kept)
         if len(self._tombstone_by_key) > _MAX_TOMBSTONES:
             self._tombstone_by_key.clear()
             self._first_change_offset = end
-        while len(self._removed_by_key) > _MAX_TOMBSTONES:
-            del self._removed_by_key[next(iter(self._removed_by_key))]
+        while (
+            len(self._removed_by_key) > _MAX_TOMBSTONES
+            or self._removed_bytes > _MAX_REMOVED_BYTES
+        ):
+            self._forget_removed(next(iter(self._removed_by_key)))
         self.end = end
         self.as_of_s = max(self.as_of_s, as_of_s)
+        return applied
+
+    def _keep(self, record: _Record) -> _Record:
+        """Keep a record, or a tombstone in its place if there is no room."""
+        replaced = self._record_by_key.get(record.key)
+        room = self._max_bytes - self.kept_bytes
+        if replaced is not None:
+            room += replaced.kept_bytes
+        if record.value is not None and record.kept_bytes > room:
+            self.is_truncated = True
+            record = record._replace(value=None)
+        if replaced is not None:
+            del self._record_by_key[record.key]
+            self.kept_bytes -= replaced.kept_bytes
+        if record.value is None:
+            if replaced is not None:
+                self._forget_removed(record.key)
+                self._removed_by_key[record.key] = replaced
+                self._removed_bytes += replaced.kept_bytes
+            self._tombstone_by_key[record.key] = record
+        else:
+            self._tombstone_by_key.pop(record.key, None)
+            self._forget_removed(record.key)
+            self._record_by_key[record.key] = record
+            self.kept_bytes += record.kept_bytes
+        return record
+
+    def _forget_removed(self, key: str) -> None:
+        removed = self._removed_by_key.pop(key, None)
+        if removed is not None:
+            self._removed_bytes -= removed.kept_bytes
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -237,6 +237,8 @@
                 self.apply_snapshot(result, requested_at_s)
             case topic_store.Changes():
                 self.apply_changes(result, requested_at_s)
+                if self.view.has_room_again:
+                    self._needs_snapshot = True
         self._health.record_success(self.topic, requested_at_s)
         return True
 
@@ -249,13 +251,17 @@
             > store_position.era_of(self.view.end)
         ):
             self._health.record_restore(self.topic)
+        was_truncated = self.view.is_truncated
         self._notify_listener(self.view.replace(snapshot, as_of_s))
+        self._log_truncation(was_truncated)
 
     def apply_changes(
         self, changes: topic_store.Changes, as_of_s: float
     ) -> None:
         """Apply changes from the store or a peer."""
+        was_truncated = self.view.is_truncated
         self._notify_listener(self.view.extend(changes, as_of_s))
+        self._log_truncation(was_truncated)
 
     def apply_peer_records(
         self, answer: messages.TopicRecords, as_of_s: float
@@ -276,6 +282,19 @@
                 topic_store.Changes(records, answer.end), as_of_s
             )
 
+    def _log_truncation(self, was_truncated: bool) -> None:
+        if self.view.is_truncated and not was_truncated:
+            _LOG.warning(
+                'topic-truncated',
+                extra={
+                    'topic': self.topic,
+                    'kept_bytes': self.view.kept_bytes,
+                    'max_bytes': topic_store.MAX_TOPIC_BYTES,
+                    'effect': 'records without room are left out until '
+                    'others are removed',
+                },
+            )
+
     def _notify_listener(
         self, records: typing.Sequence[topic_store.KeyedRecord]
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
@@ -8,6 +8,11 @@
 import dataclasses
 import typing
 
+# What a node keeps of a topic, whatever is written to it.
+MAX_TOPIC_BYTES = 8 << 20
+# The objects of a record, and what is decoded of it.
+_RECORD_OVERHEAD_BYTES = 512
+
 
 class KeyedRecord(typing.NamedTuple):
     """The newest record of a key.
@@ -26,12 +31,28 @@
     offset: int
     value: bytes | None
 
+    @property
+    def kept_bytes(self) -> int:
+        """The memory that is needed to keep the record."""
+        return len(self.key) + len(self.value or b'') + _RECORD_OVERHEAD_BYTES
+
 
 class Snapshot(typing.NamedTuple):
-    """The newest record of each key, and the end offset of the topic."""
+    """The newest record of each key, and the end offset of the topic.
+
+    Parameters
+    ----------
+    records : tuple of KeyedRecord
+        The records.
+    end : int
+        Offset after the last record of the topic.
+    is_truncated : bool
+        Whether the topic has more records than are kept.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    is_truncated: bool = False
 
 
 class Changes(typing.NamedTuple):
