Refuse heads in which the head of another answer begins

A server that wrote a part of a head on a kept connection, and then the answer to the next request, gave that answer the status and the length of the part: a header's value without an end took in the next status line.

A head whose reason or header values hold a second status line is now no valid answer.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay.http import request_state
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.tunnels import tunnel_stream
@@ -184,6 +185,11 @@
         """
         for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
+            if joined_heads.is_joined(event):
+                self._state.fail('two heads in one')
+                raise BackendConnectionError(
+                    'not a valid answer: a second status line in the head'
+                )
             if isinstance(event, h11.Response):
                 self.framing = _find_framing(event)
                 if self._is_head_request:
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -28,6 +28,7 @@
 from foxtailrelay_node.internal.relay.duties import usage_reporter
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
+from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.peers import peer_table
@@ -53,6 +54,7 @@
 from cover.relay import test_crash_quarantine as prompts
 from cover.relay import test_dispatch as dispatches
 from cover.relay import test_gossip as gossips
+from cover.relay import test_joined_heads as joined
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
 from cover.relay import test_quota as quotas
@@ -159,6 +161,10 @@
         ),
         checks.test_connection_with_extra_bytes_is_not_reused,
     ),
+    'a head that begins within another one is accepted': (
+        _set(joined_heads, 'is_joined', _always(False)),
+        joined.test_part_of_a_head_gives_no_length_to_the_next_answer,
+    ),
     'the order of events is not checked': (
         _set(
             stream_position.StreamPosition,
