Clear parts of prompts that servers outlived in answers that broke

Only whole answers cleared the parts of a prompt. Where servers end or are replaced one after another under long answers, none becomes whole, so a common part counted as never outlived and could be quarantined for ten minutes: sound requests were refused.

An attempt that lasted longer now clears its shared parts as of that second, whatever ended it.

tests/cover/relay/test_crash_quarantine.py ::test_part_that_an_engine_outlived_is_not_blamed failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
@@ -49,6 +49,7 @@
         result: results.Result,
     ) -> Finding:
         """Record an attempt; return what it shows of the server."""
+        self._record_survival(job, progress, result)
         reason = _find_disconnect(job, result)
         if (
             reason is None
@@ -86,6 +87,25 @@
             )
         )
 
+    def _record_survival(
+        self,
+        job: jobs.Job,
+        progress: progresses.Progress,
+        result: results.Result,
+    ) -> None:
+        """Record that a server outlived a prompt whose answer is not whole.
+
+        While servers are replaced one after another, no long answer ends.
+        """
+        first_at_s = progress.attempt_first_event_at_s
+        if first_at_s is None or isinstance(result, results.Done):
+            return
+        outlived_at_s = first_at_s + _PROMPT_CRASH_DELAY_S
+        if outlived_at_s <= self._context.now_s():
+            self._context.quarantine.record_answer(
+                job.service, job.shared_part_ids, outlived_at_s
+            )
+
     def _record_answer(self, job: jobs.Job, result: results.Result) -> None:
         match result:
             case results.Done():
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -129,13 +129,28 @@
         self._evaluate(service, records)
 
     def record_answer(
-        self, service: str, suspect_ids: typing.Iterable[str]
+        self,
+        service: str,
+        suspect_ids: typing.Iterable[str],
+        at_s: float | None = None,
     ) -> None:
-        """Record a complete answer, which clears the suspects."""
+        """Record an answer, which clears the suspects.
+
+        Parameters
+        ----------
+        service : str
+            Service of the server that answered.
+        suspect_ids : iterable of str
+            Shared parts of the prompt, and the fingerprint of the request.
+        at_s : float or None
+            When the server had shown that it outlives them, in seconds since
+            boot; None for now.
+        """
         records = self._records(service)
-        now_s = self._clock.boot_s()
+        if at_s is None:
+            at_s = self._clock.boot_s()
         for suspect_id in _keys(suspect_ids):
-            self._clear(service, records, suspect_id, now_s)
+            self._clear(service, records, suspect_id, at_s)
 
     def build_crashes(self) -> tuple[messages.Crash, ...]:
         """Return recent crashes under this node's requests, for its report."""
--- a/tests/cover/relay/test_crash_quarantine.py
+++ b/tests/cover/relay/test_crash_quarantine.py
@@ -432,6 +432,29 @@
     assert not await _end_servers(rig, backend)
 
 
+@relay_rig.with_rig
+async def test_part_that_an_engine_outlived_is_not_blamed(rig):
+    """Guards against common parts blamed while engines are replaced."""
+
+    def backend(rig, index):
+        if index != 3:
+            return _crashing_backend(rig, index, [])
+
+        async def serve(stream):
+            await relay_rig.read_request(stream)
+            await stream.send_all(
+                relay_rig.stream_head()
+                + relay_rig.encode_chunk(relay_rig.encode_event(1))
+            )
+            await trio.sleep(1.5)
+            del rig.dialer.backend_by_host[f'10.0.0.{index}']
+            await stream.aclose()
+
+        return serve
+
+    assert not await _end_servers(rig, backend)
+
+
 @relay_rig.with_rig
 async def test_close_delimited_stream_of_a_crashed_engine_is_blamed(rig):
     """Guards against crashes that look like the end of an answer."""
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -411,6 +411,10 @@
         _set(crash_evidence, '_PROMPT_CRASH_DELAY_S', math.inf),
         prompts.test_engine_that_ends_late_in_an_answer_is_not_blamed,
     ),
+    'a prompt that a server outlived is cleared by whole answers only': (
+        _set(crash_evidence.CrashEvidence, '_record_survival', _always(None)),
+        prompts.test_part_that_an_engine_outlived_is_not_blamed,
+    ),
     'answers that end with their connection are not checked': (
         _set(
             backend_connection,
