Watch for ends of workers while answers have no length

Callers saw streams that were complete before their last event when a server's worker ended and the process that reports lived on.

Cause: an answer without a length ends with its connection, and the report proved a process that need not be the one that answers.

While such answers are under way at a server, the node holds one more connection to it. The end of a worker closes that connection at the same moment, the end of an answer does not. Then the answer counts as broken: it goes on at another server, or is reset.

Mutants fail without the mechanism, and if any lost connection counts.

Tried first and dropped: an end that does not follow the last event at once, or ends of one moment.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -25,6 +25,7 @@
 # Servers stop at the deadline that they were given, which is in whole
 # milliseconds, and their last bytes take some time.
 _DEADLINE_MARGIN_S = 0.05
+_LOST_WORKER = 'another connection of its process ended at that moment'
 _RUNNING = (
     server_end_checker.ServerCheck.RUNNING,
     server_end_checker.ServerCheck.LINK_CUT,
@@ -260,6 +261,9 @@
         if left_s <= _DEADLINE_MARGIN_S:
             return results.Broken(f'{reason} at the deadline')
         server = self._placed.view.server
+        open_at_s = self._progress.last_part_at_s
+        if open_at_s is None:
+            open_at_s = self._context.now_s()
         end_checker = self._context.end_checker
         check = await end_checker.check(server, reason)
         doubt = check.value
@@ -268,9 +272,13 @@
             server, self._progress.attempt_sent_at_s
         ):
             proof = await self._prove_server(reason)
-            if proof is instance_report.InstanceProof.PROVED:
-                return None
             doubt = proof.value
+            if proof is instance_report.InstanceProof.PROVED:
+                workers = self._context.prover.workers
+                if not workers.has_lost_worker(server, open_at_s):
+                    return None
+                doubt = _LOST_WORKER
+                self._progress.end_proof = ''
         _LOG.info(
             'answer-end-doubted',
             extra={
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/http_exchange.py
@@ -186,8 +186,14 @@
                 return results.Broken('the answer has no signature')
             if head.is_encoded:
                 return results.Broken('the body has a content encoding')
-            if self._job.access.route.is_stream:
-                return await self._forwarder.forward_events(head)
+        if not self._backend.is_close_delimited:
+            return await self._forward(head)
+        with self._context.prover.workers.watch(self._placed.view.server):
+            return await self._forward(head)
+
+    async def _forward(self, head: answer_head.AnswerHead) -> results.Result:
+        if head.is_success and self._job.access.route.is_stream:
+            return await self._forwarder.forward_events(head)
         return await self._forwarder.forward_whole(head)
 
     def _record_notices(self, head: answer_head.AnswerHead) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -6,6 +6,7 @@
 from foxtailrelay_core import errors
 import trio
 
+from foxtailrelay_node.internal.relay.attempts import worker_watch
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import unframed_servers
@@ -68,6 +69,8 @@
         Servers whose requests need a witness.
     unlisted : UnlistedProcesses
         Processes that have reported in place of listed ones.
+    workers : WorkerWatch
+        Shows ends of workers of the servers that answer without a length.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         self._clock = clock
         self.unframed = unframed_servers.UnframedServers()
         self.unlisted = unlisted_processes.UnlistedProcesses()
+        self.workers = worker_watch.WorkerWatch(dialer, self._ask, clock)
 
     async def check_connection(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -59,6 +59,8 @@
     attempt_first_event_at_s : float or None
         When the first event of the current attempt was received, in seconds
         since boot.
+    last_part_at_s : float or None
+        When the last part of a stream was received, in seconds since boot.
     end_proof : str
         What shows that the answer of the current attempt is whole; empty if
         it is not.
@@ -85,7 +87,7 @@
     attempt_deadline_s: float = math.inf
     attempt_first_event_at_s: float | None = None
     end_proof: str = ''
-    _last_part_at_s: float = 0.0
+    last_part_at_s: float | None = None
 
     @property
     def forwarded_event_id(self) -> int | None:
@@ -113,6 +115,6 @@
         if self.first_part_s is None:
             self.first_part_s = now_s - received_at_s
         else:
-            gap_s = now_s - self._last_part_at_s
+            gap_s = now_s - (self.last_part_at_s or now_s)
             self.max_gap_s = max(gap_s, self.max_gap_s or 0.0)
-        self._last_part_at_s = now_s
+        self.last_part_at_s = now_s
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/worker_watch.py
@@ -0,0 +1,192 @@
+"""Watches for ends of workers at servers that answer without a length."""
+
+import contextlib
+import dataclasses
+import math
+import typing
+
+import logbook
+import trio
+
+from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.http import backend_connection
+from foxtailrelay_node.internal.relay.tunnels import server_dialer
+
+_LOG = logbook.Logger('foxtailrelay.backends')
+# Servers close idle connections after whole seconds, as a rule.
+_MAX_REFRESH_S = 0.8
+_MIN_REFRESH_S = 0.1
+_REOPEN_DELAY_S = 0.5
+# A server may close a connection after each answer without saying so.
+_MIN_LIFE_S = 0.1
+# The kernel closes all connections of a process together; this node may
+# read their ends one after another.
+_SAME_MOMENT_S = 0.1
+_MAX_WAITING = 1000
+
+
+@dataclasses.dataclass
+class _Watched:
+    """A server with answers under way whose end only a connection marks."""
+
+    server: backend_server.BackendServer
+    answers: int = 0
+    refresh_s: float = _MAX_REFRESH_S
+    lost_at_s: float = -math.inf
+
+
+class Answer(typing.Protocol):
+    """What a server answers when it is asked for its report."""
+
+    @property
+    def proof(self) -> instance_report.InstanceProof:
+        """Whether the listed instance answered."""
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether the process has answered at all."""
+
+
+class WorkerWatch:
+    """Notices ends of workers of servers whose other processes live on.
+
+    An answer without a length ends with its connection, and so do all
+    connections of a worker that ends.  A second connection to the server,
+    held while such answers are under way, shows the difference: a server that
+    has sent an answer to its end does not close it at that moment.
+
+    Parameters
+    ----------
+    dialer : ServerDialer
+        Opens connections.
+    ask : callable
+        Asks a server for its report on a connection.
+    clock : Clock
+        Clock for the times of ends.
+    """
+
+    def __init__(
+        self,
+        dialer: server_dialer.ServerDialer,
+        ask: typing.Callable[
+            [
+                backend_server.BackendServer,
+                backend_connection.BackendConnection,
+            ],
+            typing.Awaitable[Answer],
+        ],
+        clock: clocks.Clock,
+    ) -> None:
+        self._dialer = dialer
+        self._ask = ask
+        self._clock = clock
+        self._watched_by_key: dict[tuple[str, int], _Watched] = {}
+        self._begin, self._begun = trio.open_memory_channel[_Watched](
+            _MAX_WAITING
+        )
+
+    @contextlib.contextmanager
+    def watch(
+        self, server: backend_server.BackendServer
+    ) -> typing.Iterator[None]:
+        """Watch a server while an answer without a length is under way."""
+        watched = self._watched_by_key.get(server.instance_key)
+        if watched is None:
+            watched = _Watched(server)
+            try:
+                self._begin.send_nowait(watched)
+                self._watched_by_key[server.instance_key] = watched
+            except trio.WouldBlock:
+                pass
+        watched.answers += 1
+        try:
+            yield
+        finally:
+            watched.answers -= 1
+
+    def has_lost_worker(
+        self, server: backend_server.BackendServer, since_s: float
+    ) -> bool:
+        """Whether a worker may have ended together with an answer.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server of the answer, still watched.
+        since_s : float
+            When the connection of the answer was still open, in seconds
+            since boot.
+        """
+        watched = self._watched_by_key.get(server.instance_key)
+        return (
+            watched is not None
+            and watched.lost_at_s >= since_s - _SAME_MOMENT_S
+        )
+
+    async def run(self) -> None:
+        """Hold connections to the watched servers."""
+        async with trio.open_nursery() as nursery:
+            async for watched in self._begun:
+                nursery.start_soon(self._hold, watched)
+
+    async def _hold(self, watched: _Watched) -> None:
+        try:
+            while watched.answers:
+                await self._hold_connection(watched)
+                if watched.answers:
+                    await trio.sleep(_REOPEN_DELAY_S)
+        finally:
+            del self._watched_by_key[watched.server.instance_key]
+
+    async def _hold_connection(self, watched: _Watched) -> None:
+        stream = await self._dialer.connect(watched.server)
+        if isinstance(stream, server_dialer.Unreachable):
+            return
+        backend = backend_connection.BackendConnection(stream)
+        began_s = math.inf
+        try:
+            while watched.answers:
+                answer = await self._ask(watched.server, backend)
+                if answer.proof is instance_report.InstanceProof.LOST:
+                    break
+                if not (answer.has_answered and backend.prepare_reuse()):
+                    return
+                began_s = min(began_s, self._clock.boot_s())
+                with trio.move_on_after(watched.refresh_s) as scope:
+                    await _wait_for_input(stream)
+                if not scope.cancelled_caught:
+                    break
+            else:
+                return
+            self._record_loss(watched, began_s)
+        finally:
+            with trio.CancelScope(shield=True):
+                await backend.aclose()
+
+    def _record_loss(self, watched: _Watched, began_s: float) -> None:
+        now_s = self._clock.boot_s()
+        life_s = now_s - began_s
+        if life_s < _MIN_LIFE_S:
+            return
+        watched.lost_at_s = now_s
+        # It may have been idle for too long.
+        watched.refresh_s = max(
+            _MIN_REFRESH_S, min(watched.refresh_s, life_s / 2)
+        )
+        _LOG.info(
+            'watched-connection-lost',
+            extra={
+                'server': watched.server.id,
+                'started_ms': watched.server.started_ms,
+                'effect': 'answers without a length that end at this moment '
+                'count as broken',
+            },
+        )
+
+
+async def _wait_for_input(stream: trio.abc.Stream) -> None:
+    """Wait for the end of a connection that no request is under way on."""
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.receive_some(1)
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -183,6 +183,7 @@
                 *((f.topic, f.run) for f in self._view.followers),
                 ('peers', self._peers.run),
                 ('end checks', self._end_checker.run),
+                ('worker watch', self._prover.workers.run),
                 ('server probes', self._links.run),
                 ('duties', self._duties.run),
                 ('spend record', self._spend_record.run),
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -232,6 +232,7 @@
             metrics,
             self.clock,
         )
+        nursery.start_soon(self.prover.workers.run)
         self.timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(self.timer.run)
         wire = header_format.HeaderFormat()
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.attempts import progress
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.attempts import stream_versions
+from foxtailrelay_node.internal.relay.attempts import worker_watch
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import quiet_periods
@@ -52,6 +53,7 @@
 from cover.relay import test_crash_attribution as attributions
 from cover.relay import test_crash_quarantine as prompts
 from cover.relay import test_dispatch as dispatches
+from cover.relay import test_ended_workers as workers
 from cover.relay import test_gossip as gossips
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
@@ -413,6 +415,14 @@
         ),
         prompts.test_close_delimited_stream_of_a_crashed_engine_is_blamed,
     ),
+    'ends of workers are not noticed': (
+        _set(worker_watch.WorkerWatch, 'has_lost_worker', _always(False)),
+        workers.test_stream_of_a_worker_that_ended_goes_on_at_another_server,
+    ),
+    'idle timeouts count as ends of workers': (
+        _set(worker_watch, '_SAME_MOMENT_S', math.inf),
+        workers.test_stream_outlives_an_idle_connection_of_its_server,
+    ),
     'requests are known again by their id': (
         _set(
             request_fingerprint,
