--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -526,7 +526,7 @@
 def _blames_server(result: results.NotRun | results.Broken) -> bool:
     if isinstance(result, results.Broken):
         return not result.is_without_room
-    return not result.is_quiet_request
+    return not _is_quiet_request(result)
 
 
 def _is_rejected(result: results.Result) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.memory import memory_lease
 from foxtailrelay_node.internal.memory import purpose as purposes
+from foxtailrelay_node.internal.relay.attempts import worker_watch
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import missing_reports
@@ -82,6 +83,8 @@
         Servers whose requests need a witness.
     unlisted : UnlistedProcesses
         Processes that have reported in place of listed ones.
+    workers : WorkerWatch
+        Shows ends of workers of the servers that answer without a length.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self.missing = missing_reports.MissingReports()
         self.unframed = unframed_servers.UnframedServers()
         self.unlisted = unlisted_processes.UnlistedProcesses()
+        self.workers = worker_watch.WorkerWatch(dialer, self._ask, clock)
 
     async def run(self) -> None:
         """Ask servers in use again that give no reports."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -184,6 +184,7 @@
                 ('peers', self._peers.run),
                 ('end checks', self._end_checker.run),
                 ('report checks', self._prover.run),
+                ('worker watch', self._prover.workers.run),
                 ('server probes', self._links.run),
                 ('duties', self._duties.run),
                 ('spend record', self._spend_record.run),
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -234,6 +234,7 @@
             self.memory,
         )
         nursery.start_soon(self.prover.run)
+        nursery.start_soon(self.prover.workers.run)
         self.timer = request_timer.RequestTimer(self.clock)
         nursery.start_soon(self.timer.run)
         wire = header_format.HeaderFormat()
