Refuse joined heads in calls to plain services and the platform too

The pool of outgoing calls had the same gap as connections to servers: a part of a head, and then an answer with status 500, were read as status 200. Both cases of test_part_of_a_head_answers_no_call failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -196,7 +196,9 @@
         """
         for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
-            if joined_heads.is_joined(event):
+            if isinstance(
+                event, h11.Response | h11.InformationalResponse
+            ) and joined_heads.is_joined(bytes(event.reason), event.headers):
                 self._state.fail('two heads in one')
                 raise BackendConnectionError(
                     'not a valid answer: a second status line in the head'
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/joined_heads.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/joined_heads.py
@@ -1,13 +1,14 @@
 """Recognizes the head of an answer that begins within another head."""
 
 import re
-
-import h11
+import typing
 
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9]{2}(?: |$)')
 
 
-def is_joined(event: object) -> bool:
+def is_joined(
+    reason: bytes, headers: typing.Iterable[tuple[bytes, bytes]]
+) -> bool:
     """Whether a received head has a second status line.
 
     A server that writes a part of a head, and then the answer to the next
@@ -16,11 +17,11 @@
 
     Parameters
     ----------
-    event : object
-        An event of h11; other events than heads are not joined.
+    reason : bytes
+        The reason of the status line.
+    headers : iterable of pairs of bytes
+        Names and values.
     """
-    if not isinstance(event, h11.Response | h11.InformationalResponse):
-        return False
-    return bool(_STATUS_LINE.search(bytes(event.reason))) or any(
-        _STATUS_LINE.search(value) for _, value in event.headers
+    return bool(_STATUS_LINE.search(reason)) or any(
+        _STATUS_LINE.search(value) for _, value in headers
     )
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/strict_pool.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/strict_pool.py
@@ -2,6 +2,8 @@
 
 import httpcore
 
+from foxtailrelay_node.internal.relay.http import joined_heads
+
 
 class StrictConnectionPool(httpcore.AsyncConnectionPool):
     """Closes connections on which more than the answer was received.
@@ -43,7 +45,14 @@
         self, request: httpcore.Request
     ) -> httpcore.Response:
         """Send a request and receive the head of its answer."""
-        return await self._inner.handle_async_request(request)
+        response = await self._inner.handle_async_request(request)
+        reason = response.extensions.get('reason_phrase', b'')
+        if joined_heads.is_joined(reason, response.headers):
+            await self._inner.aclose()
+            raise httpcore.RemoteProtocolError(
+                'not a valid answer: a second status line in the head'
+            )
+        return response
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/tests/cover/relay/test_joined_heads.py
+++ b/tests/cover/relay/test_joined_heads.py
@@ -1,6 +1,10 @@
 """Answers that follow a part of another answer's head."""
 
+from foxtailrelay_node.internal.clients import http_client
+from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.relay.http import sockets
 import pytest
+import trio
 
 from common import answer_reader
 from common import relay_rig
@@ -61,3 +65,29 @@
     """Guards against sound answers that count as joined."""
     answer = relay_rig.success_response(extra='Via: HTTP/1.1 a, 1.0 200\r\n')
     assert _read_answer('/once/x', answer).body == b'fine'
+
+
+@pytest.mark.parametrize(
+    'part',
+    [b'HTTP/1.1 200 ', b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nOdd: '],
+)
+def test_part_of_a_head_answers_no_call(part):
+    """Guards against calls to plain services with a foreign status."""
+    answer = part + b'HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\n{}'
+    outcomes = []
+
+    async def main():
+        listener = await sockets.listen('127.0.0.1', 0)
+        host, port = listener.socket.getsockname()
+        client = http_client.HttpClient(1.0, 1 << 20)
+        async with trio.open_nursery() as nursery:
+            backend = relay_rig.scripted_backend(answer)
+            nursery.start_soon(trio.serve_listeners, backend, [listener])
+            outcomes.append(
+                await client.call('POST', f'http://{host}:{port}/x', 3.0)
+            )
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert isinstance(outcomes[0], http_outcomes.Unclear)
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -165,6 +165,10 @@
         _set(joined_heads, 'is_joined', _always(False)),
         joined.test_part_of_a_head_gives_no_length_to_the_next_answer,
     ),
+    'a call accepts a head that begins within another one': (
+        _set(joined_heads, 'is_joined', _always(False)),
+        lambda: joined.test_part_of_a_head_answers_no_call(b'HTTP/1.1 200 '),
+    ),
     'the order of events is not checked': (
         _set(
             stream_position.StreamPosition,
