--- a/tests/cover/test_extra_answers_of_plain_servers.py
+++ b/tests/cover/test_extra_answers_of_plain_servers.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_platform import http_client as platform_client
 import trio
 
@@ -56,7 +57,9 @@
 
 def test_extra_answer_of_the_store_does_not_answer_the_next_call():
     async def call(address):
-        client = platform_client.HttpClient(address)
+        client = platform_client.HttpClient(
+            address, memory_budget.MemoryBudget(1 << 24)
+        )
         await client.call('GET', '/a', 2.0)
         try:
             return (await client.call('GET', '/b', 2.0)).body
