Bound what callers' requests hold over all connections

Callers that sent long bodies at once, or slowly, made a node hold all of them: each connection collected its body up to the limit of the configuration, and nothing bounded the sum. A node whose memory is limited is killed, and the requests of all its callers end with it.

Each connection now has a lease of the memory budget. It grows as bytes arrive, lasts until the request is answered, and also covers heads and what is read ahead. Without room a request is refused with 503, Retry-After and outcome "not-run": already at its head (in place of 100 Continue) if its Content-Length does not fit, and its body is dropped at once. Bytes read ahead for which there is no room are dropped, and the connection ends after the current answer. The connection is the owner, as all callers may come through one address.

Found on the way: bytes read ahead were bounded for each request, so a caller that sent requests faster than they were answered made the node keep 64 KiB more with each of them; empty lines before a request were kept; a long body was copied when it was sent on, and the copy kept until the answer had ended (begin now returns parts); the listeners of checks and metrics took bodies of 4 MiB, and now of 4 KiB.

--- a/packages/node/src/foxtailrelay_node/internal/relay/caller_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/caller_server.py
@@ -5,6 +5,7 @@
 import logbook
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import paused_readers
@@ -32,6 +33,8 @@
         Updated when the node stops.
     clock : Clock
         Clock for the times of the stop.
+    memory : MemoryBudget
+        Bounds what all connections hold of requests.
     """
 
     def __init__(
@@ -39,8 +42,10 @@
         handler: caller_connection.RequestHandler,
         state: node_state.NodeState,
         clock: clocks.Clock,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._handler = handler
+        self._memory = memory
         self._state = state
         self._clock = clock
         self._accept_scope = trio.CancelScope()
@@ -98,7 +103,7 @@
         sockets.set_options(stream)
         self._last_accepted_s = self._clock.boot_s()
         connection = caller_connection.CallerConnection(
-            stream, self._handler, self._clock.boot_s
+            stream, self._handler, self._clock.boot_s, self._memory
         )
         self._connections.add(connection)
         self._readers.add(stream)
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -1,6 +1,7 @@
 """An HTTP connection to a backend server."""
 
 import enum
+import typing
 
 import h11
 import trio
@@ -119,8 +120,10 @@
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
-    ) -> bytes:
-        """Begin a request and return its bytes, which are to be written.
+    ) -> typing.Sequence[bytes]:
+        """Begin a request and return its parts, which are to be written.
+
+        A long body is a part of its own, which is not copied.
 
         What arrived before cannot answer the request, whatever its id.
 
@@ -137,19 +140,23 @@
         if body or method not in ('GET', 'HEAD', 'DELETE'):
             length = (b'Content-Length', str(len(body)).encode())
             headers = [*headers, length]
-        data = self._http.send(
-            h11.Request(method=method, target=target, headers=headers)
-        )
+        parts = [
+            self._http.send(
+                h11.Request(method=method, target=target, headers=headers)
+            )
+        ]
         if body:
-            data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        if self.sends_body_first(body):
+            parts = [b''.join(parts)]
         self._state.begin(request_id)
         self.framing = Framing.NONE
         self._is_head_request = method == 'HEAD'
-        return data
+        return parts
 
-    async def write(self, data: bytes) -> None:
-        """Write the bytes of a request that has begun.
+    async def write(self, parts: typing.Sequence[bytes]) -> None:
+        """Write the parts of a request that has begun.
 
         A write that is cancelled or fails makes the connection unusable for
         further requests.
@@ -160,7 +167,8 @@
             If the connection has failed.
         """
         try:
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self._state.fail(f'cannot send: {error}')
             raise BackendDisconnected(f'cannot send: {error}') from error
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
@@ -3,10 +3,13 @@
 import abc
 import typing
 
+from foxtailrelay_core import errors
 import h11
 import logbook
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import answer_writer
@@ -27,6 +30,7 @@
 # No deadline is later than this, so a body that takes longer is not read on,
 # even if a byte arrives now and then.
 _BODY_TIMEOUT_S = 60.0
+_NO_ROOM = "the node has no memory for more of its callers' requests"
 
 
 CallerDisconnected = answer_writer.CallerDisconnected
@@ -62,17 +66,24 @@
         Cause, for the caller.
     request : RawRequest or None
         The request without its body, if only that is missing.
+    kind : ErrorKind or None
+        Kind of the error, if the status alone does not imply it.
     """
 
     status: int
     reason: str
     request: RawRequest | None = None
+    kind: errors.ErrorKind | None = None
 
 
 class _IncompleteRequest(Exception):
     """The node exits before the rest of a request has arrived."""
 
 
+class _NoRoom(Exception):
+    """The node has no memory for more of a request."""
+
+
 class RequestHandler(abc.ABC):
     """Answers the requests of callers."""
 
@@ -112,6 +123,9 @@
 class CallerConnection:
     """Serves requests in sequence until either side closes it.
 
+    What a request occupies is held by the connection, not by the address of
+    its caller: all callers may come through one load balancer.
+
     Parameters
     ----------
     stream : trio.abc.Stream
@@ -120,6 +134,8 @@
         Answers the requests.
     now_s : callable
         Clock in seconds for ages and deadlines.
+    memory : MemoryBudget
+        Bounds what all connections hold of requests.
 
     Attributes
     ----------
@@ -134,6 +150,7 @@
         stream: trio.abc.Stream,
         handler: RequestHandler,
         now_s: typing.Callable[[], float],
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self.received_at_s = now_s()
         self.is_idle = True
@@ -145,6 +162,13 @@
         self._idle_scope = trio.CancelScope()
         self._receive_scope = trio.CancelScope()
         self._read_ahead = bytearray()
+        self._has_dropped_input = False
+        self._lease = memory.open_lease(
+            purposes.Purpose.REQUEST, f'connection {id(self)}'
+        )
+        # What a request occupies once it is no longer buffered; 0 within its
+        # head.
+        self._decoded_bytes = 0
         self._http = self._new_http()
         self._answer = self._new_answer()
 
@@ -176,6 +200,7 @@
         except CallerDisconnected:
             pass
         finally:
+            self._lease.close()
             if self._answer.state.is_cut:
                 sockets.reset_on_close(self._stream)
             await trio.aclose_forcefully(self._stream)
@@ -240,7 +265,7 @@
             await self._linger()
             return False
         await self._answer_until_close(request)
-        if not self._answer.state.is_whole:
+        if not self._answer.state.is_whole or self._has_dropped_input:
             return False
         if self._is_closing():
             # The head was sent without "Connection: close", before the node
@@ -282,20 +307,41 @@
 
     async def _watch_for_close(self, scope: trio.CancelScope) -> None:
         """Cancel ``scope`` when the caller closes the connection."""
-        while len(self._read_ahead) <= _MAX_READ_AHEAD_BYTES:
+        buffered = len(self._http.trailing_data[0])
+        while (
+            room := _MAX_READ_AHEAD_BYTES - buffered - len(self._read_ahead)
+        ) > 0:
             try:
-                data = await self._stream.receive_some(_READ_BYTES)
+                data = await self._stream.receive_some(room)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if not data:
                 scope.cancel()
                 return
+            if not self._lease.try_hold(len(data)):
+                self._drop_input(len(data))
+                return
             self._read_ahead += data
 
+    def _drop_input(self, count: int) -> None:
+        """End the connection after the answer, without later requests."""
+        _LOG.info(
+            'read-ahead-dropped',
+            extra={
+                'bytes': count,
+                'reason': _NO_ROOM,
+                'effect': 'connection closed after the answer',
+            },
+        )
+        self._has_dropped_input = True
+        self._answer.closes_connection = True
+
     async def _receive_request(self) -> RawRequest | Refused | None:
         """Receive a complete request, or None if the connection ended."""
         self.is_idle = True
         self._read_ahead[:0] = self._http.trailing_data[0]
+        self._decoded_bytes = 0
+        self._release_all_but(len(self._read_ahead))
         self._http = self._new_http()
         self._answer = self._new_answer()
         if not await self._wait_for_first_byte():
@@ -305,6 +351,7 @@
         self.received_at_s = self._now_s()
         limits = self._handler.limits()
         try:
+            self._hold(len(self._read_ahead) - self._lease.held_bytes)
             head = None
             with trio.move_on_after(limits.header_timeout_s):
                 head = await self._next_event()
@@ -318,6 +365,8 @@
         except _IncompleteRequest as error:
             _LOG.debug('closing within a head: {}', error)
             return None
+        except _NoRoom as error:
+            return Refused(503, str(error), kind=errors.ErrorKind.OVERLOADED)
 
     async def _wait_for_first_byte(self) -> bool:
         """Wait for a request; return False on close or idle timeout."""
@@ -329,7 +378,7 @@
                 received = await self._receive_some()
                 if not received:
                     return False
-                self._read_ahead += received
+                self._read_ahead[:] = received
             self._read_ahead[:] = data
             return True
         return False
@@ -348,30 +397,44 @@
             return Refused(
                 400, 'both Content-Length and Transfer-Encoding are present'
             )
+        without_body = RawRequest(head.method, head.target, headers, b'')
         for name, value in headers:
-            if name == b'content-length' and int(value) > limits.body_bytes:
+            if name != b'content-length':
+                continue
+            if int(value) > limits.body_bytes:
                 return Refused(
                     413, f'the body is longer than {limits.body_bytes} bytes'
                 )
+            if not self._has_room_for(int(value)):
+                return _refuse_without_room(without_body)
+        self._decoded_bytes = _count_head_bytes(without_body)
         if self._http.they_are_waiting_for_100_continue:
-            if await self._refuse_early(head, headers):
+            if await self._refuse_early(without_body):
                 return None
             await self._answer.send_continue()
+        received = await self._receive_rest(without_body, limits)
+        if isinstance(received, Refused):
+            # The body is not kept while the refusal is sent.
+            self._lease.close()
+        return received
+
+    async def _receive_rest(
+        self, request: RawRequest, limits: caller_limits.CallerLimits
+    ) -> RawRequest | Refused:
+        """Receive the body of a request in the time that it may take."""
         try:
             with trio.move_on_after(_BODY_TIMEOUT_S):
-                return await self._collect_body(head, headers, limits)
+                return await self._collect_body(request, limits)
         except _IncompleteRequest as error:
-            request = RawRequest(head.method, head.target, headers, b'')
             return Refused(503, str(error), request)
+        except _NoRoom:
+            return _refuse_without_room(request)
         return Refused(
             408, f'the body was not complete in {_BODY_TIMEOUT_S:g} s'
         )
 
-    async def _refuse_early(
-        self, head: h11.Request, headers: list[tuple[bytes, bytes]]
-    ) -> bool:
+    async def _refuse_early(self, request: RawRequest) -> bool:
         """Refuse a request whose caller waits before it sends the body."""
-        request = RawRequest(head.method, head.target, headers, b'')
         self._answer.closes_connection = True
         if await self._handler.refuse_early(request, self):
             await self._linger()
@@ -380,10 +443,7 @@
         return False
 
     async def _collect_body(
-        self,
-        head: h11.Request,
-        headers: list[tuple[bytes, bytes]],
-        limits: caller_limits.CallerLimits,
+        self, request: RawRequest, limits: caller_limits.CallerLimits
     ) -> RawRequest | Refused:
         body = bytearray()
         while True:
@@ -393,11 +453,12 @@
             if isinstance(event, h11.EndOfMessage):
                 break
             body += event.data
+            self._decoded_bytes += len(event.data)
             if len(body) > limits.body_bytes:
                 return Refused(
                     413, f'the body is longer than {limits.body_bytes} bytes'
                 )
-        return RawRequest(head.method, head.target, headers, bytes(body))
+        return request._replace(body=bytes(body))
 
     async def _next_body_event(self):
         """Return the next event of a body, or None after a timeout."""
@@ -413,11 +474,17 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if self._decoded_bytes:
+                # Nothing but the start of a chunk's line is still buffered.
+                self._release_all_but(
+                    self._decoded_bytes + len(self._read_ahead)
+                )
             if self._read_ahead:
-                data = bytes(self._read_ahead)
-                self._read_ahead.clear()
+                data = bytes(self._read_ahead[:_READ_BYTES])
+                del self._read_ahead[:_READ_BYTES]
             else:
                 data = await self._receive_or_refuse()
+                self._hold(len(data))
             self._http.receive_data(data)
 
     async def _receive_or_refuse(self) -> bytes:
@@ -434,6 +501,22 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerDisconnected(str(error)) from error
 
+    def _has_room_for(self, body_bytes: int) -> bool:
+        """Whether a body of some length could be held now."""
+        missing = max(0, body_bytes - self._lease.held_bytes)
+        if not self._lease.try_hold(missing):
+            return False
+        # Held as it arrives: a slow caller must not reserve room for it.
+        self._lease.release(missing)
+        return True
+
+    def _hold(self, count: int) -> None:
+        if count > 0 and not self._lease.try_hold(count):
+            raise _NoRoom(_NO_ROOM)
+
+    def _release_all_but(self, count: int) -> None:
+        self._lease.release(max(0, self._lease.held_bytes - count))
+
     async def _linger(self) -> None:
         """Let the caller read the answer before the connection is reset."""
         try:
@@ -443,3 +526,15 @@
                     pass
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+
+
+def _refuse_without_room(request: RawRequest) -> Refused:
+    return Refused(503, _NO_ROOM, request, errors.ErrorKind.OVERLOADED)
+
+
+def _count_head_bytes(request: RawRequest) -> int:
+    return (
+        len(request.method)
+        + len(request.target)
+        + sum(len(name) + len(value) for name, value in request.headers)
+    )
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -126,7 +126,7 @@
             clock,
         )
         self._caller_server = caller_server.CallerServer(
-            self._relay, self._view.state, clock
+            self._relay, self._view.state, clock, memory
         )
 
     def _build_attempt_context(
@@ -216,7 +216,7 @@
         async def serve(stream: trio.SocketStream) -> None:
             try:
                 await caller_connection.CallerConnection(
-                    stream, handler, self._clock.boot_s
+                    stream, handler, self._clock.boot_s, self._memory
                 ).serve()
             except Exception:
                 # An error in one connection must not end the others.
--- a/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
@@ -107,7 +107,7 @@
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer an invalid request."""
-        kind = _KIND_BY_STATUS.get(
+        kind = refused.kind or _KIND_BY_STATUS.get(
             refused.status, errors.ErrorKind.BAD_REQUEST
         )
         failure = errors.Failure(kind, refused.reason)
--- a/packages/node/src/foxtailrelay_node/internal/relay/status_handler.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/status_handler.py
@@ -2,9 +2,13 @@
 
 import abc
 
+from foxtailrelay_core import errors
+
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay.http import caller_connection
 
+# Checks have no body.
+_MAX_BODY_BYTES = 4096
 _CONTENT_TYPE = (b'Content-Type', b'text/plain; version=0.0.4; charset=utf-8')
 
 
@@ -43,13 +47,17 @@
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer an invalid request."""
+        headers = [_CONTENT_TYPE]
+        if refused.kind is not None:
+            retry_after_s = errors.ANSWER_BY_KIND[refused.kind].retry_after_s
+            headers.append((b'Retry-After', b'%d' % (retry_after_s or 0)))
         await connection.send_answer(
-            refused.status, [_CONTENT_TYPE], refused.reason.encode()
+            refused.status, headers, refused.reason.encode()
         )
 
     def limits(self) -> caller_limits.CallerLimits:
-        """Return the default limits."""
-        return caller_limits.CallerLimits()
+        """Return the limits of requests that need no body."""
+        return caller_limits.CallerLimits(body_bytes=_MAX_BODY_BYTES)
 
     def is_closing(self) -> bool:
         """Return False: connections stay open."""
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -328,7 +328,7 @@
         """Open a caller's connection; return the caller and the node's end."""
         near, far = testing.memory_stream_pair()
         connection = caller_connection.CallerConnection(
-            far, self.relay, self.clock.boot_s
+            far, self.relay, self.clock.boot_s, self.memory
         )
         self.nursery.start_soon(connection.serve)
         return Caller(near), connection
--- a/tests/cover/relay/test_answer_writes.py
+++ b/tests/cover/relay/test_answer_writes.py
@@ -1,5 +1,6 @@
 """What callers read whose connections take bytes slowly or not at all."""
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import sockets
@@ -34,7 +35,10 @@
     async def _start(self):
         self._stream = slow_caller.SlowStream()
         connection = caller_connection.CallerConnection(
-            self._stream, slow_caller.ScriptedHandler(), trio.current_time
+            self._stream,
+            slow_caller.ScriptedHandler(),
+            trio.current_time,
+            memory_budget.MemoryBudget(1 << 26),
         )
         self._scope = trio.CancelScope()
 
@@ -144,7 +148,10 @@
         async with trio.open_nursery() as nursery:
             stream = slow_caller.SlowStream()
             connection = caller_connection.CallerConnection(
-                stream, slow_caller.ScriptedHandler(), trio.current_time
+                stream,
+                slow_caller.ScriptedHandler(),
+                trio.current_time,
+                memory_budget.MemoryBudget(1 << 26),
             )
             nursery.start_soon(connection.serve)
             await function(stream)
--- a/tests/cover/relay/test_closing_answers.py
+++ b/tests/cover/relay/test_closing_answers.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay import caller_server
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -51,7 +52,10 @@
     async def main():
         listener = await sockets.listen('127.0.0.1', 0)
         server = caller_server.CallerServer(
-            _Handler(is_leaving), None, clocks.SystemClock()
+            _Handler(is_leaving),
+            None,
+            clocks.SystemClock(),
+            memory_budget.MemoryBudget(1 << 26),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.accept, listener, nursery)
--- a/tests/cover/relay/test_paused_readers.py
+++ b/tests/cover/relay/test_paused_readers.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay import caller_server
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay import clock as clocks
@@ -58,7 +59,10 @@
                 socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
             )
         server = caller_server.CallerServer(
-            _Handler(part_bytes), None, clocks.SystemClock()
+            _Handler(part_bytes),
+            None,
+            clocks.SystemClock(),
+            memory_budget.MemoryBudget(1 << 26),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.accept, listener, nursery)
