Bound what a node holds of its peers' messages

Each connection of a peer could make a node hold a message of 8 MiB, or one that expands to that, and a peer that did not read its answer kept its connection's message for good; nothing bounded the sum over connections.

The server side of peer connections now has a lease of the memory budget for each connection, which grows as a message arrives or is decompressed. Without room the connection is closed with the log line peer-message-not-read; a peer that does not read its answer within the idle timeout is closed with peer-does-not-read. A connection that waits for a message holds none.

All of test_peer_memory fails with a lease that always grants, and the test of the peer that does not read fails without the time limit of the answer.

--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import receive_room
 from foxtailrelay_core.internal import traffic_count
 
 _LENGTH = struct.Struct('>I')
@@ -23,6 +24,10 @@
     """A frame could not be read or sent; the connection must be closed."""
 
 
+class NoRoomError(FrameError):
+    """There is no memory for a message; the connection must be closed."""
+
+
 class SendError(FrameError):
     """A message has no frame; nothing was sent, the connection can go on."""
 
@@ -36,15 +41,19 @@
         The connection; closed by :meth:`aclose`.
     traffic : TrafficCount, optional
         Counts the bytes sent and received.
+    room : ReceiveRoom, optional
+        Bounds what is held of a message until the next one is received.
     """
 
     def __init__(
         self,
         stream: trio.abc.Stream,
         traffic: traffic_count.TrafficCount | None = None,
+        room: receive_room.ReceiveRoom | None = None,
     ) -> None:
         self._stream = stream
         self._buffer = bytearray()
+        self._room = room
         self._send_lock = trio.Lock()
         self._traffic = traffic or traffic_count.TrafficCount()
 
@@ -86,7 +95,11 @@
         ------
         FrameError
             If the frame is too long, truncated or not a valid message.
+        NoRoomError
+            If there is no room for it.
         """
+        if self._room is not None:
+            self._room.release_all_but(len(self._buffer))
         (length,) = _LENGTH.unpack(await self._receive_exactly(_LENGTH.size))
         is_compressed = bool(length & _COMPRESSED_FLAG)
         length &= ~_COMPRESSED_FLAG
@@ -95,6 +108,7 @@
         data = await self._receive_exactly(length)
         if is_compressed:
             data = _decompress(data)
+            self._hold(len(data))
         try:
             return message_codec.decode(data)
         except message_codec.DecodeError as error:
@@ -107,11 +121,16 @@
             if not chunk:
                 raise FrameError('the other node closed the connection')
             self._traffic.received_bytes += len(chunk)
+            self._hold(len(chunk))
             self._buffer += chunk
         data = bytes(self._buffer[:count])
         del self._buffer[:count]
         return data
 
+    def _hold(self, count: int) -> None:
+        if self._room is not None and not self._room.try_hold(count):
+            raise NoRoomError(f'no memory for {count} more bytes of a message')
+
     def take_buffered(self) -> bytes:
         """Return what was received after the last message, and drop it."""
         data = bytes(self._buffer)
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -10,6 +10,7 @@
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import receive_room
 from foxtailrelay_core.internal import report_codec
 from foxtailrelay_core.internal import stream_messages
 from foxtailrelay_core.internal import traffic_count
@@ -28,6 +29,8 @@
 ForwardCall = message_types.ForwardCall
 FrameError = frame_stream.FrameError
 FrameStream = frame_stream.FrameStream
+NoRoomError = frame_stream.NoRoomError
+ReceiveRoom = receive_room.ReceiveRoom
 SendError = frame_stream.SendError
 Header = message_types.Header
 Heartbeat = message_types.Heartbeat
@@ -111,6 +114,8 @@
     'UsageCount',
     'Welcome',
     'DecodeError',
+    'NoRoomError',
+    'ReceiveRoom',
     'decode',
     'decode_report',
     'encode_report',
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.assembly import cluster_view
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
@@ -48,6 +49,8 @@
         Metrics of this node.
     clock : Clock
         Clock for ages.
+    memory : MemoryBudget
+        Bounds what is held of other nodes' messages.
 
     Attributes
     ----------
@@ -82,6 +85,7 @@
         links: server_links.ServerLinks,
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._view = view
         self.lease = lease_view.LeaseView(clock)
@@ -150,6 +154,7 @@
             self.dispatcher,
             self.origins,
             self.tunnel_server,
+            memory,
         )
         self.placer = request_placer.RequestPlacer(
             dispatcher_selector.DispatcherSelector(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -4,10 +4,13 @@
 import logbook
 import trio
 
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
+from foxtailrelay_node.internal.relay.peers import peer_room
 from foxtailrelay_node.internal.relay.peers import peer_versions
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.tunnels import tunnel_server
@@ -32,6 +35,8 @@
         Keeps where streams of other nodes began.
     tunnels : TunnelServer
         Carries connections to backend servers.
+    memory : MemoryBudget
+        Bounds what all connections hold of messages.
     """
 
     def __init__(
@@ -42,7 +47,9 @@
         dispatcher: dispatchers.Dispatcher,
         origins: stream_origins.StreamOrigins,
         tunnels: tunnel_server.TunnelServer,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
+        self._memory = memory
         self.traffic = messages.TrafficCount()
         self._gossip = gossip
         self._dispatcher = dispatcher
@@ -53,13 +60,20 @@
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends or its peer is unresponsive."""
-        frames = messages.FrameStream(stream, self.traffic)
+        lease = self._memory.open_lease(
+            purposes.Purpose.PEER, f'connection {id(stream)}'
+        )
+        frames = messages.FrameStream(
+            stream, self.traffic, peer_room.PeerRoom(lease)
+        )
         versions = peer_versions.PeerVersions()
         # A peer builds an exchange after it has received the answer to the
         # previous one, so the time of that answer bounds its age.
         answered_at_s = None
         try:
             while True:
+                # A connection that waits holds no message.
+                message = answer = None
                 with trio.move_on_after(self._idle_timeout_s) as scope:
                     message_id, message = await frames.receive()
                 if scope.cancelled_caught:
@@ -86,6 +100,7 @@
                     case messages.TunnelOpen():
                         answer, server = await self._tunnels.open(message)
                         if server is not None:
+                            lease.close()
                             await self._carry(
                                 stream, frames, message_id, answer, server
                             )
@@ -93,7 +108,14 @@
                     case _:
                         reason = f'{type(message).__name__} is no request'
                         answer = messages.Refusal(reason)
-                await frames.send(message_id, answer)
+                with trio.move_on_after(self._idle_timeout_s) as scope:
+                    await frames.send(message_id, answer)
+                if scope.cancelled_caught:
+                    _LOG.warning(
+                        'peer-does-not-read',
+                        extra={'effect': 'connection closed'},
+                    )
+                    return
                 if isinstance(answer, messages.Refusal):
                     return
         except messages.SendError as error:
@@ -101,6 +123,11 @@
                 'peer-answer-not-sent',
                 extra={'reason': str(error), 'effect': 'connection closed'},
             )
+        except messages.NoRoomError as error:
+            _LOG.warning(
+                'peer-message-not-read',
+                extra={'reason': str(error), 'effect': 'connection closed'},
+            )
         except (
             messages.FrameError,
             trio.BrokenResourceError,
@@ -111,6 +138,7 @@
             # One malformed message must not end the connections of others.
             _LOG.exception('peer-connection-failed')
         finally:
+            lease.close()
             await trio.aclose_forcefully(stream)
 
     async def _carry(
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -92,6 +92,7 @@
             self._links,
             self._metrics,
             clock,
+            memory,
         )
         self._end_checker = server_end_checker.ServerEndChecker(
             self._links, self._peers.tunnels, self._view.servers, clock
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -39,7 +39,13 @@
 def _serve(rig):
     """Return a server that answers with the rig's own dispatcher."""
     return exchange_server.ExchangeServer(
-        None, 60.0, rig.clock, rig.dispatcher, rig.origins, rig.tunnel_server
+        None,
+        60.0,
+        rig.clock,
+        rig.dispatcher,
+        rig.origins,
+        rig.tunnel_server,
+        rig.memory,
     ).serve_connection
 
 
@@ -258,7 +264,13 @@
     rig.nursery.start_soon(client.run)
     rig.add_server('model', 1, _stream_backend([]))
     rig.dialer.backend_by_host[_PEER_HOST] = exchange_server.ExchangeServer(
-        None, 0.5, rig.clock, rig.dispatcher, rig.origins, rig.tunnel_server
+        None,
+        0.5,
+        rig.clock,
+        rig.dispatcher,
+        rig.origins,
+        rig.tunnel_server,
+        rig.memory,
     ).serve_connection
     await testing.wait_all_tasks_blocked()
     for _ in range(2):
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -2,6 +2,7 @@
 
 from foxtailrelay_core.internal import frame_stream
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.duties import duty_log
@@ -118,7 +119,13 @@
             clock,
         )
         self.server = exchange_server.ExchangeServer(
-            self.node.gossip, 4.0, clock, rig_dispatcher, _NoOrigins(), None
+            self.node.gossip,
+            4.0,
+            clock,
+            rig_dispatcher,
+            _NoOrigins(),
+            None,
+            memory_budget.MemoryBudget(1 << 26),
         )
 
     async def send(self, data):
