Add mutants for what requests and peers may hold

A budget that grants everything, and long bodies that are not refused at their head: the tests of request and peer memory fail on each of them.

--- a/tests/cover/relay/test_request_memory.py
+++ b/tests/cover/relay/test_request_memory.py
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize('more', ((), ('Expect: 100-continue',)))
-def test_body_that_cannot_be_held_is_refused_before_it_is_sent(more):
+def test_body_without_room_is_refused_before_it_is_sent(more):
     """Guards against reading a body that is known to be refused."""
 
     @_with_small_budget
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -4,6 +4,7 @@
 import math
 
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay import answer_head
 from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import crash_evidence
@@ -55,9 +56,11 @@
 from cover.relay import test_gossip as gossips
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
+from cover.relay import test_peer_memory as peer_memories
 from cover.relay import test_quota as quotas
 from cover.relay import test_repeated_requests as repeats
 from cover.relay import test_request_guarantees as checks
+from cover.relay import test_request_memory as memories
 from cover.relay import test_server_limits as limits
 from cover.relay import test_server_list as lists
 from cover.relay import test_server_notices as notices
@@ -505,6 +508,22 @@
         _set(messages.PlaceAnswer, 'is_counted', True),
         dispatches.test_node_knows_a_limit_that_the_dispatcher_does_not,
     ),
+    'connections hold requests without a bound': (
+        _set(memory_budget.MemoryBudget, 'grant', _always(True)),
+        memories.test_unfinished_heads_are_held_within_the_budget,
+    ),
+    'peers send messages without a bound': (
+        _set(memory_budget.MemoryBudget, 'grant', _always(True)),
+        peer_memories.test_unfinished_messages_are_held_within_the_budget,
+    ),
+    'bodies without room are read': (
+        _set(
+            caller_connection.CallerConnection, '_has_room_for', _always(True)
+        ),
+        lambda: memories.test_body_without_room_is_refused_before_it_is_sent(
+            ()
+        ),
+    ),
     'jumps of the wall clock are followed': (
         _set(corrected_clock, '_MAX_DRIFT_S', math.inf),
         clocks.test_jump_of_the_wall_clock_is_ignored,
