--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -92,6 +92,7 @@
             self._links,
             self._metrics,
             clock,
+            memory,
         )
         self._end_checker = server_end_checker.ServerEndChecker(
             self._links, self._peers.tunnels, self._view.servers, clock
@@ -126,7 +127,7 @@
             clock,
         )
         self._caller_server = caller_server.CallerServer(
-            self._relay, self._view.state, clock
+            self._relay, self._view.state, clock, memory
         )
 
     def _build_attempt_context(
@@ -218,7 +219,7 @@
         async def serve(stream: trio.SocketStream) -> None:
             try:
                 await caller_connection.CallerConnection(
-                    stream, handler, self._clock.boot_s
+                    stream, handler, self._clock.boot_s, self._memory
                 ).serve()
             except Exception:
                 # An error in one connection must not end the others.
