Bound what foxtailrelayd holds of others' bytes

Callers lost their requests with the node when servers answered without an end: the events of a stream were kept without a bound, whole answers were bounded one by one, and nothing bounded their sum. Endless tiny chunks, comments and interim heads took the processor from all other callers.

One MemoryBudget, from the new limits.memory_bytes, grants leases for request bodies, answers, events, reports, pages of the log and messages of peers. Without room requests are refused as not run, answers end as failures, streams break, frames are errors, and pages of the log are read in smaller ones. The number of short chunks, comments and interim heads is bounded, events are searched in new bytes only, and other tasks run in between.

--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -18,6 +18,7 @@
 from foxtailrelay_node.internal.catalogue import catalogue
 from foxtailrelay_node.internal.catalogue import catalogue_state
 from foxtailrelay_node.internal.catalogue import options
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal import metrics
 from foxtailrelay_node.internal.routing import cost_policy
 from foxtailrelay_node.internal.routing import engine_monitor
@@ -46,6 +47,7 @@
 _RECLAIM_NOTICE_S = 5.0
 _OUTAGE_S = 30.0
 _FINISH_TIMEOUT_S = 60.0
+_MEMORY_BYTES = 1 << 30
 _ALL_POLICIES = 'round-robin least-outstanding prefix-hash cost bound'
 POLICIES = os.environ.get('POLICY_NAMES', _ALL_POLICIES).split()
 
@@ -167,7 +169,12 @@
             monitor, self._build_policy(model_by_name)
         )
         return model_dispatcher.ModelDispatcher(
-            engines, monitor, router, metrics.Metrics(), self._routing
+            engines,
+            monitor,
+            router,
+            metrics.Metrics(),
+            self._routing,
+            memory_budget.MemoryBudget(_MEMORY_BYTES),
         )
 
     def _build_policy(self, model_by_name):
--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -1,6 +1,7 @@
 """Length-prefixed messages over a byte stream."""
 
 import struct
+import typing
 import zlib
 
 import trio
@@ -27,6 +28,16 @@
     """A message has no frame; nothing was sent, the connection can go on."""
 
 
+class ByteLease(typing.Protocol):
+    """Holds bytes that are received, within a bound."""
+
+    def try_hold(self, count: int) -> bool:
+        """Hold more bytes; return False without room."""
+
+    def release(self, count: int) -> None:
+        """Give bytes back."""
+
+
 class FrameStream:
     """Sends and receives messages over one connection.
 
@@ -36,13 +47,18 @@
         The connection; closed by :meth:`aclose`.
     traffic : TrafficCount, optional
         Counts the bytes sent and received.
+    lease : ByteLease, optional
+        Holds a message while it is received; without room for it the frame
+        is an error.  It may be replaced between messages.
     """
 
     def __init__(
         self,
         stream: trio.abc.Stream,
         traffic: traffic_count.TrafficCount | None = None,
+        lease: ByteLease | None = None,
     ) -> None:
+        self.lease = lease
         self._stream = stream
         self._buffer = bytearray()
         self._send_lock = trio.Lock()
@@ -85,14 +101,15 @@
         Raises
         ------
         FrameError
-            If the frame is too long, truncated or not a valid message.
+            If the frame is too long, truncated or not a valid message, or
+            there is no memory for it.
         """
         (length,) = _LENGTH.unpack(await self._receive_exactly(_LENGTH.size))
         is_compressed = bool(length & _COMPRESSED_FLAG)
         length &= ~_COMPRESSED_FLAG
         if length > MAX_FRAME_BYTES:
             raise FrameError(f'frame of {length} bytes is too long')
-        data = await self._receive_exactly(length)
+        data = await self._receive_held(length)
         if is_compressed:
             data = _decompress(data)
         try:
@@ -100,15 +117,48 @@
         except message_codec.DecodeError as error:
             raise FrameError(str(error)) from error
 
+    async def _receive_held(self, count: int) -> bytes:
+        """Receive the next bytes; the lease holds those that are here."""
+        lease = self.lease
+        if lease is None:
+            return await self._receive_exactly(count)
+        held = 0
+        try:
+            while len(self._buffer) < count:
+                held += await self._receive_part(lease)
+            return self._take(count)
+        finally:
+            lease.release(held)
+
+    async def _receive_part(self, lease: ByteLease) -> int:
+        """Receive and hold one part; return its length."""
+        before = len(self._buffer)
+        await self._fill()
+        count = len(self._buffer) - before
+        if not lease.try_hold(count):
+            raise FrameError(
+                f'no memory for {len(self._buffer)} bytes of a message'
+            )
+        return count
+
     async def _receive_exactly(self, count: int) -> bytes:
         """Receive the next ``count`` bytes."""
         while len(self._buffer) < count:
-            chunk = await self._stream.receive_some(_READ_BYTES)
-            if not chunk:
-                raise FrameError('the other node closed the connection')
-            self._traffic.received_bytes += len(chunk)
-            self._buffer += chunk
-        data = bytes(self._buffer[:count])
+            await self._fill()
+        return self._take(count)
+
+    async def _fill(self) -> None:
+        """Receive more bytes."""
+        chunk = await self._stream.receive_some(_READ_BYTES)
+        if not chunk:
+            raise FrameError('the other node closed the connection')
+        self._traffic.received_bytes += len(chunk)
+        self._buffer += chunk
+
+    def _take(self, count: int) -> bytes:
+        """Remove and return received bytes."""
+        with memoryview(self._buffer) as view:
+            data = bytes(view[:count])
         del self._buffer[:count]
         return data
 
--- a/packages/core/src/foxtailrelay_core/internal/node_settings.py
+++ b/packages/core/src/foxtailrelay_core/internal/node_settings.py
@@ -15,6 +15,10 @@
 ]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86400)]
 ByteCount = typing.Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
+# A process needs about 96 MiB for itself.
+MemoryByteCount = typing.Annotated[
+    int, pydantic.Field(ge=128 << 20, le=1 << 40)
+]
 Url = typing.Annotated[
     str, pydantic.Field(pattern=r'^https?://[^/\s]+(/[^\s]*)?$')
 ]
@@ -102,7 +106,15 @@
 
 
 class LimitSettings(typing.NamedTuple):
-    """Limits on the requests of callers and on concurrent requests."""
+    """Limits on requests, answers and memory.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory that the process may use.  Received bytes that it holds take a
+        share of it; requests without room are refused, answers end as
+        failures.
+    """
 
     body_bytes: ByteCount = 1 << 20
     header_bytes: ByteCount = 16 << 10
@@ -111,6 +123,7 @@
         int, pydantic.Field(ge=1, le=100_000)
     ] = 2000
     answer_bytes: ByteCount = 4 << 20
+    memory_bytes: MemoryByteCount = 1 << 30
 
 
 class TimingSettings(typing.NamedTuple):
--- a/packages/node/src/foxtailrelay_node/internal/callers/app.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/app.py
@@ -1,5 +1,6 @@
 """The HTTP application that a node serves to callers and operators."""
 
+import contextlib
 import typing
 
 from foxtailrelay_core import errors
@@ -16,6 +17,7 @@
 from foxtailrelay_node.internal.callers import body_reader
 from foxtailrelay_node.internal.callers import caller_answer
 from foxtailrelay_node.internal.callers import chat_request
+from foxtailrelay_node.internal.callers import leased_response
 from foxtailrelay_node.internal.callers import model_endpoint as model_api
 from foxtailrelay_node.internal.callers import plain_endpoint as plain_api
 from foxtailrelay_node.internal.callers import request_failed
@@ -23,6 +25,8 @@
 from foxtailrelay_node.internal.catalogue import options
 from foxtailrelay_node.internal.ledger import entry as entries
 from foxtailrelay_node.internal.ledger import ledger as ledgers
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal import metrics as metrics_module
 from foxtailrelay_node.internal import node_status
 from foxtailrelay_node.internal.operators import endpoint
@@ -38,6 +42,8 @@
 }
 _STATUS_TIMEOUT_S = 2.0
 _MAX_TIMEOUT_S = 3600.0
+# An answer that connections take at once, also from slow readers.
+_SHORT_ANSWER_BYTES = 4096
 
 
 class AppDependencies(typing.NamedTuple):
@@ -54,6 +60,7 @@
     operators: endpoint.OperatorEndpoint
     organisation_authenticator: authenticator.Authenticator
     operator_authenticator: authenticator.Authenticator
+    memory: memory_budget.MemoryBudget
 
 
 class CallerApp:
@@ -99,51 +106,55 @@
 
     async def _handle_chat(self, request: requests.Request):
         organisation = await self._authenticate_caller(request)
-        body = await self._body_reader.read(request)
-        chat = chat_request.ChatRequest.from_body(body)
-        self._find_service(organisation, chat.service, 'model')
-        job = self._dependencies.model_endpoint.build_job(
-            request, organisation, chat, self._deadline_s(request)
-        )
-        if chat.stream:
-            return _AdmittedStream(
-                self._dependencies,
-                job,
-                self._dependencies.model_endpoint.stream(job),
+        with contextlib.ExitStack() as leases:
+            body = await self._read_body(request, organisation, leases)
+            chat = chat_request.ChatRequest.from_body(body)
+            self._find_service(organisation, chat.service, 'model')
+            job = self._dependencies.model_endpoint.build_job(
+                request, organisation, chat, self._deadline_s(request)
             )
-        with self._admit(organisation):
-            answer = await self._dependencies.model_endpoint.collect(job)
-        if isinstance(answer, errors.Failure):
-            self._count_answer(chat.service, answer)
-            raise request_failed.RequestFailed(answer)
-        self._count_answer(chat.service, None)
-        return answer.response(job.request_id)
+            if chat.stream:
+                stream = _AdmittedStream(
+                    self._dependencies,
+                    job,
+                    self._dependencies.model_endpoint.stream(job),
+                )
+                return leased_response.LeasedResponse(stream, leases.pop_all())
+            with self._admit(organisation):
+                answer = await self._dependencies.model_endpoint.collect(job)
+            if isinstance(answer, errors.Failure):
+                self._count_answer(chat.service, answer)
+                raise request_failed.RequestFailed(answer)
+            self._count_answer(chat.service, None)
+            return self._respond(answer, organisation, job.request_id)
 
     async def _handle_plain_call(self, request: requests.Request):
         organisation = await self._authenticate_caller(request)
         name = request.path_params['service']
         service = self._find_service(organisation, name, 'plain')
-        body = await self._body_reader.read(request)
         path = request.path_params['path'] or '/'
         if request.url.query:
             path = f'{path}?{request.url.query}'
-        plain_request = plain_api.PlainRequest(
-            organisation,
-            name,
-            request.method,
-            path,
-            tuple(request.headers.items()),
-            body,
-            self._deadline_s(request),
-        )
-        request_id = model_api.new_request_id(organisation)
-        with self._admit(organisation):
-            answer = await self._dependencies.plain_endpoint.serve(
-                plain_request, service, request_id
+        with contextlib.ExitStack() as leases:
+            plain_request = plain_api.PlainRequest(
+                organisation,
+                name,
+                request.method,
+                path,
+                tuple(request.headers.items()),
+                await self._read_body(request, organisation, leases),
+                self._deadline_s(request),
             )
-        outcome = dict(answer.headers).get(caller_answer.OUTCOME_HEADER, '')
-        self._dependencies.metrics.requests.labels(name, outcome, '').inc()
-        return answer.response(request_id)
+            request_id = model_api.new_request_id(organisation)
+            with self._admit(organisation):
+                answer = await self._dependencies.plain_endpoint.serve(
+                    plain_request, service, request_id
+                )
+            outcome = dict(answer.headers).get(
+                caller_answer.OUTCOME_HEADER, ''
+            )
+            self._dependencies.metrics.requests.labels(name, outcome, '').inc()
+            return self._respond(answer, organisation, request_id)
 
     async def _handle_request_status(self, request: requests.Request):
         organisation = await self._authenticate_caller(request)
@@ -191,8 +202,9 @@
                 request.headers.get('authorization', '')
             )
         )
-        body = await self._body_reader.read(request)
-        return await self._dependencies.operators.serve(operator, body)
+        with contextlib.ExitStack() as leases:
+            body = await self._read_body(request, operator, leases)
+            return await self._dependencies.operators.serve(operator, body)
 
     async def _handle_health(self, request: requests.Request):
         return responses.PlainTextResponse('alive\n')
@@ -210,6 +222,39 @@
             media_type='text/plain; version=0.0.4; charset=utf-8',
         )
 
+    async def _read_body(
+        self,
+        request: requests.Request,
+        sender: str,
+        leases: contextlib.ExitStack,
+    ) -> bytes:
+        """Return the body of a request, held until the leases are closed."""
+        lease = self._dependencies.memory.open_lease(
+            purposes.Purpose.REQUEST, sender
+        )
+        leases.enter_context(lease)
+        return await self._body_reader.read(request, lease)
+
+    def _respond(
+        self,
+        answer: caller_answer.CallerAnswer,
+        organisation: str,
+        request_id: str,
+    ) -> leased_response.LeasedResponse:
+        """Return the response, which holds the answer until it is sent."""
+        with contextlib.ExitStack() as leases:
+            lease = leases.enter_context(
+                self._dependencies.memory.open_lease(
+                    purposes.Purpose.ANSWER, organisation
+                )
+            )
+            size = len(answer.body)
+            if not lease.try_hold(size) and size > _SHORT_ANSWER_BYTES:
+                answer = answer.without_room(request_id)
+            return leased_response.LeasedResponse(
+                answer.response(request_id), leases.pop_all()
+            )
+
     async def _authenticate_caller(self, request: requests.Request) -> str:
         """Return the organisation that sent a request."""
         failure = self._dependencies.status.startup_refusal()
--- a/packages/node/src/foxtailrelay_node/internal/callers/caller_answer.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/caller_answer.py
@@ -94,6 +94,17 @@
                     result.body,
                 )
 
+    def without_room(self, request_id: str) -> 'CallerAnswer':
+        """Return the failure in place of an answer that cannot be held."""
+        outcome = dict(self.headers).get(OUTCOME_HEADER)
+        failure = errors.Failure(
+            errors.ErrorKind.OVERLOADED,
+            f'this node has no memory to deliver the {len(self.body)} bytes '
+            'of the answer; ask for it again by the same key, if there is one',
+            outcome=errors.Outcome(outcome or errors.Outcome.RAN.value),
+        )
+        return CallerAnswer.from_failure(failure, request_id)
+
     def response(self, request_id: str = '') -> responses.Response:
         """Return the answer as a Starlette response."""
         headers = dict(self.headers)
--- a/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/model_dispatcher.py
@@ -1,5 +1,6 @@
 """Serves a model request, resuming it at other engines after failures."""
 
+import contextlib
 import json
 import typing
 
@@ -14,6 +15,9 @@
 from foxtailrelay_node.internal.callers import resume_point
 from foxtailrelay_node.internal.clients import engine_client
 from foxtailrelay_node.internal.clients import engine_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal import metrics as metrics_module
 from foxtailrelay_node.internal.routing import decision as decisions
 from foxtailrelay_node.internal.routing import engine_monitor
@@ -30,6 +34,9 @@
 _MAX_ATTEMPTS = 6
 _RESUME_WAIT_INTERVAL_S = 0.25
 _BATCH_WAIT_INTERVAL_S = 0.5
+# What the objects of an event take beside its data.
+_EVENT_OVERHEAD_BYTES = 64
+_MAX_REPETITIONS = 16
 
 
 class ModelJob(typing.NamedTuple):
@@ -62,8 +69,15 @@
 class _Progress:
     """The part of an answer that has been sent to the sink."""
 
-    def __init__(self, job: ModelJob, started_s: float) -> None:
+    def __init__(
+        self,
+        job: ModelJob,
+        started_s: float,
+        memory: memory_budget.MemoryBudget,
+    ) -> None:
         self.job = job
+        self._memory = memory
+        self._leases = contextlib.ExitStack()
         self.started_s = started_s
         self.number = job.resume.number if job.resume else 0
         self.first_event_s: float | None = None
@@ -78,6 +92,17 @@
         """Whether events have been received, so that the stream can resume."""
         return bool(self.events)
 
+    def open_lease(self, engine: str) -> memory_lease.MemoryLease:
+        """Return the lease of an engine's events, kept until `close`."""
+        return self._leases.enter_context(
+            self._memory.open_lease(purposes.Purpose.ANSWER, engine)
+        )
+
+    def close(self) -> None:
+        """Drop the events."""
+        self.events.clear()
+        self._leases.close()
+
     def is_repetition(self, event: engine_outcomes.StreamEvent) -> bool:
         """Whether an engine repeats the last event, as it may at the end."""
         return event.number == self.number and (
@@ -113,6 +138,8 @@
         Metrics of requests and streams.
     settings : RoutingSettings
         Latency targets and ratio of the retry budget.
+    memory : MemoryBudget
+        Bounds the events that are kept for resuming and for whole answers.
     """
 
     def __init__(
@@ -122,8 +149,10 @@
         router: model_router.ModelRouter,
         metrics: metrics_module.Metrics,
         settings: settings_module.RoutingSettings,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._client = client
+        self._memory = memory
         self._monitor = monitor
         self._router = router
         self._metrics = metrics
@@ -135,18 +164,19 @@
         self, job: ModelJob, sink: event_sink.EventSink
     ) -> errors.Failure | None:
         """Send an answer's events to the sink; None if it is complete."""
-        progress = _Progress(job, trio.current_time())
-        with trio.move_on_at(job.deadline_s) as scope:
-            failure = await self._run_attempts(progress, sink)
-        if scope.cancelled_caught:
-            failure = errors.Failure(
-                _Kind.DEADLINE_EXCEEDED,
-                'the deadline passed before the answer was complete',
-                outcome=_outcome_of(progress),
-            )
-        if failure is None and progress.has_events:
-            self._record_complete_answer(progress)
-        return failure
+        progress = _Progress(job, trio.current_time(), self._memory)
+        with contextlib.closing(progress):
+            with trio.move_on_at(job.deadline_s) as scope:
+                failure = await self._run_attempts(progress, sink)
+            if scope.cancelled_caught:
+                failure = errors.Failure(
+                    _Kind.DEADLINE_EXCEEDED,
+                    'the deadline passed before the answer was complete',
+                    outcome=_outcome_of(progress),
+                )
+            if failure is None and progress.has_events:
+                self._record_complete_answer(progress)
+            return failure
 
     async def _run_attempts(
         self, progress: _Progress, sink: event_sink.EventSink
@@ -311,6 +341,8 @@
         queued: '_QueuedTokens',
     ) -> engine_outcomes.StreamEnd | engine_outcomes.StreamBroken:
         """Send a stream's events to the sink, each once and without gaps."""
+        lease = progress.open_lease(queued.engine.name)
+        repetitions = 0
         while True:
             item = await stream.next_item()
             if isinstance(item, engine_outcomes.StreamEnd) and (
@@ -321,11 +353,20 @@
                 return item
             queued.clear()
             if progress.is_repetition(item):
+                repetitions += 1
+                if repetitions > _MAX_REPETITIONS:
+                    return engine_outcomes.StreamBroken(
+                        f'event {item.number} is repeated without an end'
+                    )
                 continue
             if item.number != progress.number + 1:
                 return engine_outcomes.StreamBroken(
                     f'event {item.number} follows event {progress.number}'
                 )
+            if not lease.try_hold(len(item.data) + _EVENT_OVERHEAD_BYTES):
+                return engine_outcomes.StreamBroken(
+                    'there is no memory for more of its events'
+                )
             progress.number = item.number
             progress.events.append(item.data)
             progress.last_event_s = trio.current_time()
--- a/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
+++ b/packages/node/src/foxtailrelay_node/internal/callers/plain_endpoint.py
@@ -19,6 +19,8 @@
 from foxtailrelay_node.internal.ledger import ledger as ledgers
 from foxtailrelay_node.internal.members import link_manager
 from foxtailrelay_node.internal.members import peer_link
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.routing import plain_router
 from foxtailrelay_node.internal.routing import retry_budget
 
@@ -97,6 +99,8 @@
         Sends calls that may be retried.
     routing : RoutingSettings
         Ratio of the retry budget.
+    memory : MemoryBudget
+        Bounds the bodies of calls that other nodes forward.
     """
 
     def __init__(
@@ -107,7 +111,9 @@
         router: plain_router.PlainRouter,
         client: backend_client.BackendClient,
         routing: settings_module.RoutingSettings,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._node_id = node_id
         self._ledger = ledger
         self._links = links
@@ -150,7 +156,20 @@
             forwarded.body,
             trio.current_time() + forwarded.timeout_ms / 1000,
         )
-        answer = await self._run(call, forwarded.respond_async)
+        lease = self._memory.open_lease(
+            purposes.Purpose.REQUEST, forwarded.organisation
+        )
+        with lease:
+            if lease.try_hold(len(forwarded.body)):
+                answer = await self._run(call, forwarded.respond_async)
+            else:
+                failure = errors.Failure(
+                    _Kind.OVERLOADED,
+                    f'node {self._node_id} has no memory for the body now',
+                )
+                answer = caller_answer.CallerAnswer.from_failure(
+                    failure, forwarded.request_id
+                )
         headers = tuple(messages.Header(*pair) for pair in answer.headers)
         return messages.ForwardAnswer(answer.status, headers, answer.body)
 
--- a/packages/node/src/foxtailrelay_node/internal/client_set.py
+++ b/packages/node/src/foxtailrelay_node/internal/client_set.py
@@ -15,6 +15,8 @@
 from foxtailrelay_node.internal.clients import http_log_client
 from foxtailrelay_node.internal.clients import log_client
 from foxtailrelay_node.internal.members import transport
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 _MAX_PLATFORM_ANSWER_BYTES = 64 << 20
 
@@ -31,15 +33,20 @@
 
     @classmethod
     def from_settings(
-        cls, settings: settings_module.NodeSettings
+        cls,
+        settings: settings_module.NodeSettings,
+        memory: memory_budget.MemoryBudget,
     ) -> 'ClientSet':
         """Build clients that use HTTP and TCP."""
         timings = settings.timings
         platform_http = http_client.HttpClient(
-            timings.connect_timeout_s, _MAX_PLATFORM_ANSWER_BYTES
+            timings.connect_timeout_s,
+            _MAX_PLATFORM_ANSWER_BYTES,
+            memory,
+            purposes.Purpose.PLATFORM,
         )
         engines = http_engine_client.HttpEngineClient(
-            timings.connect_timeout_s, timings.stream_silence_s
+            timings.connect_timeout_s, timings.stream_silence_s, memory
         )
         traffic_by_part = {
             'platform': platform_http.traffic,
@@ -58,7 +65,9 @@
             ),
             engines,
             http_backend_client.HttpBackendClient(
-                timings.connect_timeout_s, settings.limits.answer_bytes
+                timings.connect_timeout_s,
+                settings.limits.answer_bytes,
+                memory,
             ),
             transport.TcpTransport(),
             traffic_by_part,
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_backend_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_backend_client.py
@@ -3,6 +3,8 @@
 from foxtailrelay_node.internal.clients import backend_client
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 
 class HttpBackendClient(backend_client.BackendClient):
@@ -12,13 +14,23 @@
     """
 
     def __init__(
-        self, connect_timeout_s: float, max_answer_bytes: int
+        self,
+        connect_timeout_s: float,
+        max_answer_bytes: int,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._pooled = http_client.HttpClient(
-            connect_timeout_s, max_answer_bytes
+            connect_timeout_s,
+            max_answer_bytes,
+            memory,
+            purposes.Purpose.ANSWER,
         )
         self._unpooled = http_client.HttpClient(
-            connect_timeout_s, max_answer_bytes, keep_alive=False
+            connect_timeout_s,
+            max_answer_bytes,
+            memory,
+            purposes.Purpose.ANSWER,
+            keep_alive=False,
         )
 
     async def call(
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_client.py
@@ -8,7 +8,11 @@
 import httpcore
 import trio
 
+from foxtailrelay_node.internal.clients import head_limit
 from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.http import strict_pool
 
@@ -17,6 +21,10 @@
 _KEEPALIVE_EXPIRY_S = 4.0
 _START_LINE_BYTES = 40
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Parsing a chunk takes time whatever its length.
+_MAX_SHORT_CHUNKS = 1024
+_MIN_CHUNK_BYTES = 4
+_CHUNKS_PER_CHECKPOINT = 16
 
 
 class _UnprovenAnswer(typing.NamedTuple):
@@ -57,6 +65,10 @@
     max_answer_bytes : int
         Size limit of an answer's body; the outcome of a call with a larger
         one is `Unclear`.
+    memory : MemoryBudget
+        Bounds all answers that are being read.
+    purpose : Purpose
+        What the answers are held for.
     keep_alive : bool
         Whether connections are reused.  Calls that must run at most once
         need a new connection each: an idle connection may be dead, and a
@@ -67,16 +79,21 @@
         self,
         connect_timeout_s: float,
         max_answer_bytes: int,
+        memory: memory_budget.MemoryBudget,
+        purpose: purposes.Purpose,
         keep_alive: bool = True,
     ) -> None:
         self.traffic = messages.TrafficCount()
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
+        self._memory = memory
+        self._purpose = purpose
         self._pool = strict_pool.StrictConnectionPool(
             max_connections=None,
             max_keepalive_connections=None if keep_alive else 0,
             keepalive_expiry=_KEEPALIVE_EXPIRY_S,
             socket_options=sockets.SOCKET_OPTIONS,
+            network_backend=head_limit.HeadLimitBackend(),
         )
 
     async def call(
@@ -157,8 +174,12 @@
                 self.traffic.received_bytes += _estimate_header_bytes(
                     response.headers
                 )
+                head_limit.end_head(response)
                 try:
-                    content = await self._read_body(response)
+                    with self._memory.open_lease(
+                        self._purpose, url.split('/')[2]
+                    ) as lease:
+                        content = await self._read_body(response, lease)
                 finally:
                     await response.aclose()
             except (httpcore.NetworkError, httpcore.TimeoutException) as error:
@@ -169,8 +190,8 @@
                 return send_tracker.build_failure(
                     f'{type(error).__name__}: {error}'
                 )
-            if content is None:
-                return http_outcomes.Unclear('the answer is too long')
+            if isinstance(content, http_outcomes.Unclear):
+                return content
             if _is_ended_by_connection(method, response):
                 return _UnprovenAnswer(response.status, content)
             return http_outcomes.HttpAnswer(
@@ -180,14 +201,37 @@
             f'no whole answer within {timeout_s:.3f} s'
         )
 
-    async def _read_body(self, response: httpcore.Response) -> bytes | None:
-        """Return the complete body, or None if it is too large."""
+    async def _read_body(
+        self, response: httpcore.Response, lease: memory_lease.MemoryLease
+    ) -> bytes | http_outcomes.Unclear:
+        """Return the complete body, or why there is none."""
         content = bytearray()
+        chunk_count = 0
         async for chunk in response.aiter_stream():
-            content += chunk
             self.traffic.received_bytes += len(chunk)
-            if len(content) > self._max_answer_bytes:
-                return None
+            if len(content) + len(chunk) > self._max_answer_bytes:
+                return http_outcomes.Unclear(
+                    f'the answer is longer than {self._max_answer_bytes} '
+                    'bytes',
+                    is_too_long=True,
+                )
+            if not lease.try_hold(len(chunk)):
+                return http_outcomes.Unclear(
+                    f'after {len(content)} bytes there was no memory for '
+                    'more of the answer',
+                    is_too_long=True,
+                )
+            content += chunk
+            chunk_count += 1
+            if (
+                chunk_count
+                > _MAX_SHORT_CHUNKS + len(content) // _MIN_CHUNK_BYTES
+            ):
+                return http_outcomes.Unclear(
+                    f'{chunk_count} chunks hold {len(content)} bytes only'
+                )
+            if chunk_count % _CHUNKS_PER_CHECKPOINT == 0:
+                await trio.lowlevel.checkpoint()
         return bytes(content)
 
     async def aclose(self) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_engine_client.py
@@ -15,8 +15,13 @@
 from foxtailrelay_node.internal.clients import backend_client
 from foxtailrelay_node.internal.clients import engine_client
 from foxtailrelay_node.internal.clients import engine_outcomes
+from foxtailrelay_node.internal.clients import event_buffer
+from foxtailrelay_node.internal.clients import head_limit
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.http import strict_pool
 
@@ -27,6 +32,13 @@
 _CONFLICT = 409
 _MAX_REPORT_BYTES = 4 << 20
 _MAX_EVENT_BYTES = 1 << 20
+# Parsing a chunk or a comment takes time whatever its length.  A comment a
+# second is within the bound for an hour.
+_MAX_COMMENTS_BETWEEN_EVENTS = 3600
+_MAX_COMMENT_BYTES_BETWEEN_EVENTS = 1 << 20
+_MAX_SHORT_CHUNKS = 256
+_MIN_CHUNK_BYTES = 16
+_STEPS_PER_CHECKPOINT = 16
 _NUMBER = re.compile(rb'[1-9]\d{0,17}')
 _END_OF_STREAM = b'[DONE]'
 
@@ -36,12 +48,33 @@
 
 
 class HttpEngineStream(engine_client.EngineStream):
-    """Reads the server-sent events of one HTTP response."""
+    """Reads the server-sent events of one HTTP response.
 
-    def __init__(self, response: httpcore.Response, request_id: str) -> None:
+    Parameters
+    ----------
+    response : httpcore.Response
+        The response, whose body has not been read.
+    request_id : str
+        Identifies the events of the request.
+    lease : MemoryLease
+        Holds what is received of the next event; closed with the stream.
+    """
+
+    def __init__(
+        self,
+        response: httpcore.Response,
+        request_id: str,
+        lease: memory_lease.MemoryLease,
+    ) -> None:
         self._response = response
         self._chunks = response.aiter_stream()
-        self._buffer = b''
+        self._buffer = event_buffer.EventBuffer()
+        self._lease = lease
+        # Since the last event, and since the last event or comment.
+        self._comments = 0
+        self._comment_bytes = 0
+        self._chunk_count = 0
+        self._steps = 0
         # Engines write the request id into each event.  Checking it keeps
         # the events of another request from reaching this caller.
         self._request_id = json.dumps(request_id).encode()
@@ -49,17 +82,46 @@
     async def next_item(self) -> engine_outcomes.StreamItem:
         """Return the next event, the end of the stream, or its failure."""
         while True:
-            event_text, separator, remaining = self._buffer.partition(b'\n\n')
-            if separator:
-                self._buffer = remaining
+            self._steps += 1
+            if self._steps % _STEPS_PER_CHECKPOINT == 0:
+                # What was received already is read without waiting.
+                await trio.lowlevel.checkpoint()
+            event_text = self._buffer.take_event()
+            self._lease.release(self._lease.held_bytes - len(self._buffer))
+            if event_text is not None:
                 item = self._parse_event(event_text)
+                self._chunk_count = 0
                 if item is not None:
+                    self._comments = 0
+                    self._comment_bytes = 0
                     return item
+                self._comments += 1
+                self._comment_bytes += len(event_text)
+                if (
+                    self._comments > _MAX_COMMENTS_BETWEEN_EVENTS
+                    or self._comment_bytes > _MAX_COMMENT_BYTES_BETWEEN_EVENTS
+                ):
+                    return engine_outcomes.StreamBroken(
+                        f'no event in {self._comments} comments'
+                    )
                 continue
+            if (
+                self._chunk_count
+                > _MAX_SHORT_CHUNKS + len(self._buffer) // _MIN_CHUNK_BYTES
+            ):
+                return engine_outcomes.StreamBroken(
+                    f'no event in {self._chunk_count} chunks'
+                )
+            self._chunk_count += 1
             if len(self._buffer) > _MAX_EVENT_BYTES:
                 return engine_outcomes.StreamBroken('event is too large')
             try:
-                self._buffer += await anext(self._chunks)
+                chunk = await anext(self._chunks)
+                if not self._lease.try_hold(len(chunk)):
+                    return engine_outcomes.StreamBroken(
+                        'there is no memory for more of its events'
+                    )
+                self._buffer.feed(chunk)
             except StopAsyncIteration:
                 return engine_outcomes.StreamBroken(
                     'stream ended without [DONE]'
@@ -96,6 +158,7 @@
 
     async def aclose(self) -> None:
         """Close the stream's connection."""
+        self._lease.close()
         with trio.CancelScope(shield=True), trio.move_on_after(1):
             await self._response.aclose()
 
@@ -109,20 +172,30 @@
         Time limit for opening a connection.
     idle_timeout_s : float
         A stream that transfers no data for this time has failed.
+    memory : MemoryBudget
+        Bounds all reports and events that are being read.
     """
 
     def __init__(
-        self, connect_timeout_s: float, idle_timeout_s: float
+        self,
+        connect_timeout_s: float,
+        idle_timeout_s: float,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
+        self._memory = memory
         self._client = http_client.HttpClient(
-            connect_timeout_s, _MAX_REPORT_BYTES
+            connect_timeout_s,
+            _MAX_REPORT_BYTES,
+            memory,
+            purposes.Purpose.PLATFORM,
         )
         self._stream_pool = strict_pool.StrictConnectionPool(
             max_connections=None,
             keepalive_expiry=4.0,
             socket_options=sockets.SOCKET_OPTIONS,
+            network_backend=head_limit.HeadLimitBackend(),
         )
 
     @property
@@ -170,7 +243,9 @@
             return engine_outcomes.StreamBroken(
                 f'status {response.status}', refused=True
             )
-        return HttpEngineStream(response, request.request_id)
+        head_limit.end_head(response)
+        lease = self._memory.open_lease(purposes.Purpose.ANSWER, address.name)
+        return HttpEngineStream(response, request.request_id, lease)
 
     async def cancel(
         self, address: backend_client.BackendAddress, request_id: str
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_log_client.py
@@ -34,6 +34,7 @@
         self._client = client
         self._base_url = base_url.rstrip('/')
         self._timeout_s = timeout_s
+        self._records_per_read = _MAX_RECORDS_PER_READ
 
     async def append(
         self, stream: str, data: bytes
@@ -64,7 +65,7 @@
         """
         url = (
             f'{self._base_url}/streams/{stream}?from={from_offset}'
-            f'&limit={_MAX_RECORDS_PER_READ}&wait_s={wait_s}'
+            f'&limit={self._records_per_read}&wait_s={wait_s}'
         )
         outcome = await self._client.call_json(
             'GET',
@@ -73,7 +74,14 @@
             json_statuses=(_OK, _GONE),
         )
         if not isinstance(outcome, http_outcomes.JsonAnswer):
+            if isinstance(outcome, http_outcomes.Unclear) and (
+                outcome.is_too_long
+            ):
+                self._records_per_read = max(1, self._records_per_read // 2)
             return log_outcomes.ReadFailed(outcome.cause)
+        self._records_per_read = min(
+            _MAX_RECORDS_PER_READ, self._records_per_read * 2
+        )
         if outcome.status not in (_OK, _GONE):
             return log_outcomes.ReadFailed(f'status {outcome.status}')
         try:
--- a/packages/node/src/foxtailrelay_node/internal/clients/http_outcomes.py
+++ b/packages/node/src/foxtailrelay_node/internal/clients/http_outcomes.py
@@ -48,9 +48,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unclear:
-    """The request may have arrived, but no complete answer was received."""
+    """The request may have arrived, but no complete answer was received.
+
+    Parameters
+    ----------
+    cause : str
+        Why there is no answer.
+    is_too_long : bool
+        Whether the answer was longer than there is room for.
+    """
 
     cause: str
+    is_too_long: bool = False
 
 
 HttpOutcome = HttpAnswer | NotSent | Unclear
--- a/packages/node/src/foxtailrelay_node/internal/members/link_manager.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/link_manager.py
@@ -13,6 +13,8 @@
 from foxtailrelay_node.internal.members import membership as memberships
 from foxtailrelay_node.internal.members import peer_link
 from foxtailrelay_node.internal.members import transport as transports
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 _LOG = logbook.Logger('foxtailrelay.members')
 _MIN_INTERVAL_S = 0.05
@@ -46,6 +48,8 @@
         Opens connections.
     timings : TimingSettings
         Heartbeat interval and timeout after which a node is suspected.
+    memory : MemoryBudget
+        Bounds the messages that are being received.
     """
 
     def __init__(
@@ -55,7 +59,9 @@
         configuration: configs.Configuration,
         transport: transports.PeerTransport,
         timings: settings_module.TimingSettings,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
+        self._memory = memory
         self.traffic = messages.TrafficCount()
         self._handshake = handshake
         self._membership = membership
@@ -195,7 +201,13 @@
                 )
         except (OSError, trio.TooSlowError):
             return False
-        frames = messages.FrameStream(stream, self.traffic)
+        frames = messages.FrameStream(
+            stream,
+            self.traffic,
+            self._memory.open_lease(
+                purposes.Purpose.PEER, managed.digest.node_id
+            ),
+        )
         try:
             await self._handshake.dial(frames, managed.digest.node_id)
             is_authenticated = True
--- a/packages/node/src/foxtailrelay_node/internal/members/peer_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/members/peer_server.py
@@ -9,8 +9,11 @@
 from foxtailrelay_node.internal.catalogue import configuration as configs
 from foxtailrelay_node.internal.members import handshake as handshakes
 from foxtailrelay_node.internal.members import membership as memberships
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 _LOG = logbook.Logger('foxtailrelay.members')
+_UNKNOWN_NODE = ''
 
 ForwardHandler = typing.Callable[
     [messages.ForwardCall], typing.Awaitable[messages.ForwardAnswer]
@@ -32,6 +35,8 @@
         Runs a forwarded call.
     idle_timeout_s : float
         Seconds without a request after which a connection is closed.
+    memory : MemoryBudget
+        Bounds the messages that are being received and answered.
     """
 
     def __init__(
@@ -41,7 +46,9 @@
         configuration: configs.Configuration,
         forward_handler: ForwardHandler,
         idle_timeout_s: float,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
+        self._memory = memory
         self.traffic = messages.TrafficCount()
         self._handshake = handshake
         self._membership = membership
@@ -51,9 +58,16 @@
 
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends or times out."""
-        frames = messages.FrameStream(stream, self.traffic)
+        frames = messages.FrameStream(
+            stream,
+            self.traffic,
+            self._memory.open_lease(purposes.Purpose.PEER, _UNKNOWN_NODE),
+        )
         try:
             node_id = await self._handshake.accept(frames)
+            frames.lease = self._memory.open_lease(
+                purposes.Purpose.PEER, node_id
+            )
             async with trio.open_nursery() as nursery:
                 await self._serve_requests(frames, nursery)
                 nursery.cancel_scope.cancel()
@@ -97,7 +111,16 @@
     ) -> None:
         """Run a forwarded call and send its answer back."""
         answer = await self._forward_handler(call)
-        await frames.send(message_id, answer)
+        lease = self._memory.open_lease(
+            purposes.Purpose.ANSWER, call.organisation
+        )
+        with lease:
+            if lease.try_hold(len(answer.body)):
+                await frames.send(message_id, answer)
+            else:
+                await frames.send(
+                    message_id, messages.Refusal('no memory for the answer')
+                )
 
     def _handle_request(self, message: messages.Message) -> messages.Message:
         """Handle one request and return its answer."""
--- a/packages/node/src/foxtailrelay_node/internal/node.py
+++ b/packages/node/src/foxtailrelay_node/internal/node.py
@@ -23,6 +23,8 @@
 from foxtailrelay_node.internal.members import link_manager
 from foxtailrelay_node.internal.members import membership as memberships
 from foxtailrelay_node.internal.members import peer_server
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_metrics_collector
 from foxtailrelay_node.internal import metrics as metrics_module
 from foxtailrelay_node.internal import node_status
 from foxtailrelay_node.internal.operators import endpoint
@@ -56,6 +58,8 @@
         Clients of the platform, the backend servers and the other nodes.
     started_ms : int
         Unix time of the start in milliseconds; a restart has a later value.
+    memory : MemoryBudget
+        Bounds what the node holds of others' bytes.
     """
 
     def __init__(
@@ -63,8 +67,10 @@
         settings: settings_module.NodeSettings,
         clients: client_set.ClientSet,
         started_ms: int,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
         self.settings = settings
+        self.memory = memory
         self.metrics = metrics_module.Metrics()
         self.holder = f'{settings.node.id}/{started_ms}'
         self.leaving_vms: set[str] = set()
@@ -88,6 +94,7 @@
             self.configuration,
             clients.transport,
             settings.timings,
+            memory,
         )
         self.engine_monitor = engine_monitor.EngineMonitor(
             clients.engines,
@@ -124,6 +131,7 @@
             plain_routing,
             clients.backends,
             settings.routing,
+            memory,
         )
         router = model_router.ModelRouter(
             self.engine_monitor, cost_policy.CostPolicy(settings.routing)
@@ -134,6 +142,7 @@
             router,
             self.metrics,
             settings.routing,
+            memory,
         )
         self.peer_server = peer_server.PeerServer(
             handshake,
@@ -141,6 +150,7 @@
             self.configuration,
             self.plain_endpoint.run_forwarded,
             settings.timings.peer_dead_s,
+            memory,
         )
         self._notice_watcher = reclaim_notice_watcher.ReclaimNoticeWatcher(
             clients.cloud,
@@ -159,14 +169,21 @@
                 self._append_count,
             )
         )
+        self.metrics.add_collector(
+            memory_metrics_collector.MemoryMetricsCollector(memory)
+        )
 
     @classmethod
     def from_settings(cls, settings: settings_module.NodeSettings) -> 'Node':
         """Build a node with clients that use the network."""
+        memory = memory_budget.MemoryBudget.from_memory_limit(
+            settings.limits.memory_bytes
+        )
         return cls(
             settings,
-            client_set.ClientSet.from_settings(settings),
+            client_set.ClientSet.from_settings(settings, memory),
             time.time_ns() // 1_000_000,
+            memory,
         )
 
     def build_app(self):
@@ -190,6 +207,7 @@
             operator_authenticator=authenticator.Authenticator(
                 self._operator_hash
             ),
+            memory=self.memory,
         )
         return apps.CallerApp(dependencies).build()
 
--- a/tests/common/cluster.py
+++ b/tests/common/cluster.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.callers import model_dispatcher
 from foxtailrelay_node.internal.callers import plain_endpoint
 from foxtailrelay_node.internal import client_set
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal import node as nodes
 from foxtailrelay_node.internal.operators import executor
 from foxtailrelay_standins import models
@@ -26,6 +27,7 @@
 ORGANISATION = 'workshop'
 ZONES = ('a', 'b', 'c', 'd')
 _BACKEND_LATENCY_S = 0.05
+_MEMORY_BYTES = 1 << 30
 _TIMINGS = settings.TimingSettings(drain_timeout_s=20.0)
 
 
@@ -135,7 +137,10 @@
         self._start_count += 1
         self._start_number_by_name[name] = self._start_count
         node = nodes.Node(
-            self._settings(name), self._clients(name), self._start_count
+            self._settings(name),
+            self._clients(name),
+            self._start_count,
+            memory_budget.MemoryBudget(_MEMORY_BYTES),
         )
         self.node_by_name[name] = node
         scope = trio.CancelScope()
--- a/tests/cover/relay/test_sockets.py
+++ b/tests/cover/relay/test_sockets.py
@@ -5,6 +5,8 @@
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_engine_client
 from foxtailrelay_node.internal.members import transport
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.http import sockets
 import trio
 
@@ -71,7 +73,14 @@
 
     trio.run(main)
     for pool in (
-        http_client.HttpClient(1.0, 1000)._pool,
-        http_engine_client.HttpEngineClient(1.0, 1.0)._stream_pool,
+        http_client.HttpClient(
+            1.0,
+            1000,
+            memory_budget.MemoryBudget(1 << 24),
+            purposes.Purpose.ANSWER,
+        )._pool,
+        http_engine_client.HttpEngineClient(
+            1.0, 1.0, memory_budget.MemoryBudget(1 << 24)
+        )._stream_pool,
     ):
         assert tuple(pool._socket_options) == sockets.SOCKET_OPTIONS
--- a/tests/cover/test_extra_answers_of_plain_servers.py
+++ b/tests/cover/test_extra_answers_of_plain_servers.py
@@ -4,6 +4,8 @@
 
 from foxtailrelay_node.internal.clients import http_client
 from foxtailrelay_node.internal.clients import http_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_platform import http_client as platform_client
 import trio
 
@@ -42,7 +44,12 @@
 
 def test_extra_answer_of_a_plain_server_does_not_answer_the_next_call():
     async def call(address):
-        client = http_client.HttpClient(1.0, 1 << 20)
+        client = http_client.HttpClient(
+            1.0,
+            1 << 20,
+            memory_budget.MemoryBudget(1 << 24),
+            purposes.Purpose.ANSWER,
+        )
         url = f'http://{address}/'
         await client.call('GET', url, 2.0)
         return await client.call('GET', url, 2.0)
@@ -56,7 +63,9 @@
 
 def test_extra_answer_of_the_store_does_not_answer_the_next_call():
     async def call(address):
-        client = platform_client.HttpClient(address)
+        client = platform_client.HttpClient(
+            address, memory_budget.MemoryBudget(1 << 24)
+        )
         await client.call('GET', '/a', 2.0)
         try:
             return (await client.call('GET', '/b', 2.0)).body
--- a/tests/cover/test_foreign_answers.py
+++ b/tests/cover/test_foreign_answers.py
@@ -15,6 +15,8 @@
 from foxtailrelay_node.internal.clients import http_engine_client
 from foxtailrelay_node.internal.clients import http_log_client
 from foxtailrelay_node.internal.clients import log_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 _FOREIGN_BODIES = [
     b'welcome',
@@ -44,11 +46,18 @@
 @pytest.mark.parametrize('body', _FOREIGN_BODIES)
 def test_foreign_answer_is_no_answer_of_the_platform_or_an_engine(body):
     async def call_all(port):
-        http = http_client.HttpClient(1.0, 1 << 20)
+        http = http_client.HttpClient(
+            1.0,
+            1 << 20,
+            memory_budget.MemoryBudget(1 << 24),
+            purposes.Purpose.ANSWER,
+        )
         url = f'http://127.0.0.1:{port}'
         log = http_log_client.HttpLogClient(http, url, 2.0)
         cloud = http_cloud_client.HttpCloudClient(http, url, 2.0)
-        engines = http_engine_client.HttpEngineClient(1.0, 1.0)
+        engines = http_engine_client.HttpEngineClient(
+            1.0, 1.0, memory_budget.MemoryBudget(1 << 24)
+        )
         engine = backend_client.BackendAddress('e', '127.0.0.1', port)
         appended = await log.append('s', b'x')
         assert isinstance(appended, log_outcomes.AppendUnconfirmed)
--- a/tests/cover/test_unframed_backend_answers.py
+++ b/tests/cover/test_unframed_backend_answers.py
@@ -9,6 +9,8 @@
 from foxtailrelay_node.internal.clients import http_log_client
 from foxtailrelay_node.internal.clients import http_outcomes
 from foxtailrelay_node.internal.clients import log_outcomes
+from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import purpose as purposes
 
 _HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 _JSON_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
@@ -59,18 +61,30 @@
 
 
 async def _post(host, port):
-    client = http_client.HttpClient(1.0, 1 << 20)
+    client = http_client.HttpClient(
+        1.0,
+        1 << 20,
+        memory_budget.MemoryBudget(1 << 24),
+        purposes.Purpose.ANSWER,
+    )
     return await client.call('POST', f'http://{host}:{port}/', _TIMEOUT_S)
 
 
 async def _read_load(host, port):
-    client = http_engine_client.HttpEngineClient(1.0, 1.0)
+    client = http_engine_client.HttpEngineClient(
+        1.0, 1.0, memory_budget.MemoryBudget(1 << 24)
+    )
     address = backend_client.BackendAddress('e', host, port)
     return await client.read_load(address)
 
 
 def _log_client(host, port):
-    client = http_client.HttpClient(1.0, 1 << 20)
+    client = http_client.HttpClient(
+        1.0,
+        1 << 20,
+        memory_budget.MemoryBudget(1 << 24),
+        purposes.Purpose.ANSWER,
+    )
     return http_log_client.HttpLogClient(client, f'http://{host}:{port}', 2.0)
 
 
