--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -37,3 +37,12 @@
 
 def test_the_error_for_invalid_json_has_the_line_number():
     assert 'line 3' in settings.load_text('{\n"node":\n,}', 'a.jsonc').text()
+
+
+def test_too_little_memory_is_an_error_with_the_least_value():
+    text = _VALID_TEXT.replace(
+        '"platform"', '"limits": {"memory_bytes": 1000000}, "platform"'
+    )
+    lines = settings.load_text(text, 'a.jsonc').text()
+    assert 'limits.memory_bytes: found 1000000' in lines
+    assert str(128 << 20) in lines
