--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -43,6 +43,7 @@
         Counts the bytes sent and received.
     room : ReceiveRoom, optional
         Bounds what is held of a message until the next one is received.
+        It may be replaced between messages.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
     ) -> None:
         self._stream = stream
         self._buffer = bytearray()
-        self._room = room
+        self.room = room
         self._send_lock = trio.Lock()
         self._traffic = traffic or traffic_count.TrafficCount()
 
@@ -98,8 +99,8 @@
         NoRoomError
             If there is no room for it.
         """
-        if self._room is not None:
-            self._room.release_all_but(len(self._buffer))
+        if self.room is not None:
+            self.room.release_all_but(len(self._buffer))
         (length,) = _LENGTH.unpack(await self._receive_exactly(_LENGTH.size))
         is_compressed = bool(length & _COMPRESSED_FLAG)
         length &= ~_COMPRESSED_FLAG
@@ -128,7 +129,7 @@
         return data
 
     def _hold(self, count: int) -> None:
-        if self._room is not None and not self._room.try_hold(count):
+        if self.room is not None and not self.room.try_hold(count):
             raise NoRoomError(f'no memory for {count} more bytes of a message')
 
     def take_buffered(self) -> bytes:
@@ -139,6 +140,8 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
+        if self.room is not None:
+            self.room.release_all_but(0)
         await self._stream.aclose()
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -5,12 +5,12 @@
 import trio
 
 from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import peer_room
 from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
-from foxtailrelay_node.internal.relay.peers import peer_room
 from foxtailrelay_node.internal.relay.peers import peer_versions
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.tunnels import tunnel_server
