--- a/tests/cover/test_endless_answers_on_nodes.py
+++ b/tests/cover/test_endless_answers_on_nodes.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import pathlib
+import socket
 import threading
 import time
 
@@ -281,3 +282,41 @@
         assert peak_bytes < _MEMORY_BYTES
         assert max(durations_s) < _MAX_SOUND_S
         assert not any(thread.is_alive() for thread in threads)
+
+
+def test_callers_that_do_not_read_take_no_memory_of_a_node(tmp_path):
+    """Guards against events that are queued for slow readers."""
+
+    def serve_endless(connection, request):
+        if not _serve_reports(connection, request):
+            _write_events(connection, request)
+
+    method, path, body = _chat('assistant', True)
+    lines = [f'{method} {path} HTTP/1.1', 'Host: a']
+    lines += [f'{name}: {value}' for name, value in _headers('guest').items()]
+    lines += [f'Content-Length: {len(body)}', '', '']
+    with (
+        local.LocalCluster(tmp_path, _SETTINGS) as cluster,
+        scripted_server.ScriptedServer(serve_endless) as endless,
+        scripted_server.ScriptedServer(_serve_sound) as sound,
+        contextlib.ExitStack() as callers,
+    ):
+        cluster.start_standin('log', 'log')
+        cluster.start_standin('cloud', 'cloud')
+        cluster.add_node('entry-1', 'a')
+        cluster.start_nodes()
+        node = cluster.node_by_name['entry-1']
+        _configure(node.url, endless.port, sound.port)
+        for _ in range(_ENDLESS_CALLS):
+            caller = callers.enter_context(
+                socket.create_connection((local.HOST, node.caller_port))
+            )
+            caller.sendall('\r\n'.join(lines).encode() + body)
+        for _ in range(_SOUND_CALLS):
+            duration_s, response = _call_sound(node.url, _chat('clerk', False))
+            assert response.status == 200, response.content
+            assert duration_s < _MAX_SOUND_S
+            time.sleep(_FLOOD_S / _SOUND_CALLS)
+        peak_bytes = _peak_bytes(cluster.process_by_name['entry-1'].pid)
+        print(f'slow readers: peak {peak_bytes / 1e6:.0f} MB')
+        assert peak_bytes < _MEMORY_BYTES
