--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -50,6 +50,7 @@
 import pytest
 import test_store_restore as restores
 
+from cover.relay import test_answer_memory as answers
 from cover.relay import test_clocks as clocks
 from cover.relay import test_cluster_retry_budget as budgets
 from cover.relay import test_crash_attribution as attributions
@@ -532,6 +533,14 @@
         _set(messages.PlaceAnswer, 'is_counted', True),
         dispatches.test_node_knows_a_limit_that_the_dispatcher_does_not,
     ),
+    'answers are held whatever the budget has': (
+        _set(memory_budget.MemoryBudget, 'grant', _always(True)),
+        answers.test_answer_without_a_length_and_without_room_is_not_begun,
+    ),
+    'memory of answers is never given back': (
+        _set(progress.Progress, 'close_answer', _always(None)),
+        answers.test_memory_of_an_answer_is_free_again_when_its_caller_leaves,
+    ),
     'connections hold requests without a bound': (
         _set(memory_budget.MemoryBudget, 'grant', _always(True)),
         memories.test_unfinished_heads_are_held_within_the_budget,
