Report no failure to dispatchers where a node has no memory

Callers saw 502 from a sound server whose answer found no room because other servers' answers held the memory. The node did not count that against the server, but its note to the dispatcher said FAILED, as for a broken answer. Both now take the same decision. The test failed before: the note was FAILED instead of LEFT.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -156,7 +156,7 @@
             is_rejected = _is_rejected(result)
             if is_crash:
                 event = messages.PlaceEvent.FAILED
-            elif is_link_cut or _is_quiet_request(result):
+            elif is_link_cut or _is_blameless(result):
                 event = messages.PlaceEvent.LEFT
             return result
         finally:
@@ -373,7 +373,7 @@
             case results.Done():
                 self._context.loads.record_success(server)
             case results.NotRun(reason=reason) | results.Broken(reason=reason):
-                if not is_link_cut and _blames_server(result):
+                if not (is_link_cut or _is_blameless(result)):
                     self._context.loads.record_failure(server)
                 fields['reason'] = reason
                 if isinstance(result, results.Broken):
@@ -519,14 +519,14 @@
     return errors.Failure(kind, why, retry_after_s=round(remaining_s, 2))
 
 
-def _is_quiet_request(result: results.Result) -> bool:
-    return isinstance(result, results.NotRun) and result.is_quiet_request
-
-
-def _blames_server(result: results.NotRun | results.Broken) -> bool:
-    if isinstance(result, results.Broken):
-        return not result.is_without_room
-    return not _is_quiet_request(result)
+def _is_blameless(result: results.Result) -> bool:
+    """Whether a failed attempt says nothing about its server."""
+    match result:
+        case results.NotRun(is_quiet_request=is_blameless):
+            return is_blameless
+        case results.Broken(is_without_room=is_blameless):
+            return is_blameless
+    return False
 
 
 def _is_rejected(result: results.Result) -> bool:
