Drop the body of a failed attempt before the next one

A failure's body of up to 4 MiB stayed in use until the next attempt ended, while its lease ended with the head of the next answer: each retried request held memory that the budget did not see. The body and its lease now end together, before the next server is chosen. The test failed before: the failure of the first attempt was still there while the second one answered.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -107,6 +107,9 @@
                 return await self._finish_failed(
                     job, progress, result, connection
                 )
+            # The body of a failure is not kept during the next attempt.
+            del result
+            progress.close_answer()
 
     async def _attempt(
         self,
--- a/tests/cover/relay/test_answers_without_room.py
+++ b/tests/cover/relay/test_answers_without_room.py
@@ -1,7 +1,10 @@
 """Answers for which a node has no memory."""
 
+import gc
+
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.memory import purpose as purposes
+from foxtailrelay_node.internal.relay.attempts import results
 import trio
 
 from common import relay_rig
@@ -45,3 +48,39 @@
     assert rig.memory.denied_count(_ANSWER) == 1
     assert messages.PlaceEvent.LEFT in events
     assert messages.PlaceEvent.FAILED not in events
+
+
+@relay_rig.with_rig
+async def test_failed_answer_is_not_kept_while_another_server_answers(rig):
+    """Guards against memory that is in use although its lease has ended."""
+
+    async def fail(stream):
+        await relay_rig.read_request(stream)
+        await stream.send_all(
+            b'HTTP/1.1 500 Failed\r\nRequest-Id: r1\r\n'
+            b'Content-Length: 1000000\r\n\r\n' + b'a' * 1_000_000
+        )
+
+    async def answer_slowly(stream):
+        await relay_rig.read_request(stream)
+        await stream.send_all(relay_rig.success_response()[:-1])
+        await trio.sleep_forever()
+
+    servers = [fail]
+
+    async def backend(stream):
+        await (servers.pop() if servers else answer_slowly)(stream)
+
+    for index in (1, 2):
+        rig.add_server('plain', index, backend)
+    caller = rig.connect()
+    await caller.send('/any/x')
+    await trio.sleep(1.0)
+    assert not servers
+    assert rig.memory.held_bytes(_ANSWER) < 1000
+    kept = [
+        thing
+        for thing in gc.get_objects()
+        if isinstance(thing, results.ServerFailure)
+    ]
+    assert not kept
