--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -262,7 +262,7 @@
         notices.test_an_engine_in_its_quiet_period_is_not_dispatched_to,
     ),
     'a request for a pause counts as a failure': (
-        _set(attempt_runner, '_is_quiet_request', _always(False)),
+        _set(attempt_runner, '_is_blameless', _always(False)),
         notices.test_a_request_for_a_pause_is_no_failure_of_the_server,
     ),
     'the era of the store is ignored': (
