Hold room for what a peer's message is once it is unpacked

The table of segments with which a message begins says how long it is; that much is now held before it is decoded. The test failed before: nothing was denied.

--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
+from foxtailrelay_core.internal import packed_size
 from foxtailrelay_core.internal import receive_room
 from foxtailrelay_core.internal import traffic_count
 
@@ -113,8 +114,9 @@
                 self._room.release_all_but(len(self._buffer))
             self._hold(len(data))
         try:
+            self._hold(max(0, packed_size.unpacked_bytes(data) - len(data)))
             return message_codec.decode(data)
-        except message_codec.DecodeError as error:
+        except ValueError as error:
             raise FrameError(str(error)) from error
 
     async def _receive_exactly(self, count: int) -> bytes:
--- a/tests/cover/relay/test_peer_memory.py
+++ b/tests/cover/relay/test_peer_memory.py
@@ -126,6 +126,21 @@
         return messages.Refusal('the test ends here')
 
 
+@relay_rig.with_rig
+async def test_message_that_unpacks_beyond_the_room_ends_its_connection(rig):
+    """Guards against short messages that are long when they are read."""
+    server = _server(rig)
+    peer = _connect(rig, server)
+    # A segment of 1 << 18 words that are zero, 256 in two bytes.
+    data = bytes([0x40, 4]) + bytes([0, 255]) * (1 << 10)
+    await peer.send_all(struct.pack('>I', len(data)) + data)
+    with trio.fail_after(1):
+        assert await peer.receive_some() == b''
+    assert rig.memory.denied_count(purposes.Purpose.PEER) == 1
+    assert _held_bytes(rig) == 0
+    await _check_is_answered(rig, server)
+
+
 @pytest.mark.parametrize('make_value', [bytes, os.urandom])
 def test_longest_records_of_a_topic_fit_at_the_usual_memory(make_value):
     """Guards against peers that cannot bring a new node up to date."""
