--- a/packages/core/src/foxtailrelay_core/internal/frame_stream.py
+++ b/packages/core/src/foxtailrelay_core/internal/frame_stream.py
@@ -110,8 +110,8 @@
         data = await self._receive_exactly(length)
         if is_compressed:
             data = _decompress(data)
-            if self._room is not None:
-                self._room.release_all_but(len(self._buffer))
+            if self.room is not None:
+                self.room.release_all_but(len(self._buffer))
             self._hold(len(data))
         try:
             self._hold(max(0, packed_size.unpacked_bytes(data) - len(data)))
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/event_splitter.py
@@ -10,7 +10,7 @@
 _MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 1 << 20
 # Servers send a comment every few seconds, to keep a connection open.
-MAX_COMMENTS = 1000
+MAX_COMMENTS = 10_000
 MAX_COMMENT_BYTES = 1 << 18
 
 
