--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -2,9 +2,6 @@
 
 import prometheus_client
 
-from foxtailrelay_node.internal.memory import memory_budget
-from foxtailrelay_node.internal.memory import purpose as purposes
-
 _LATENCY_BUCKETS_S = (
     0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.81, 1.0, 1.5, 2.5, 5.0, 10.0,
 )  # fmt: skip
@@ -33,24 +30,6 @@
             ['proof'],
             registry=self.registry,
         )
-        self.held_bytes = prometheus_client.Gauge(
-            'foxtailrelay_held_bytes',
-            'Received bytes that are held, by what they are held for.',
-            ['purpose'],
-            registry=self.registry,
-        )
-        self.held_bytes_limit = prometheus_client.Gauge(
-            'foxtailrelay_held_bytes_limit',
-            'Received bytes that may be held at most.',
-            ['purpose'],
-            registry=self.registry,
-        )
-        self.memory_denied = prometheus_client.Gauge(
-            'foxtailrelay_memory_denied',
-            'How often there was no room for received bytes.',
-            ['purpose'],
-            registry=self.registry,
-        )
         self.placements = prometheus_client.Counter(
             'foxtailrelay_placements',
             'Decisions where to send a request, by who decided.',
@@ -110,19 +89,6 @@
             registry=self.registry,
         )
 
-    def record_memory(self, memory: memory_budget.MemoryBudget) -> None:
-        """Set the gauges of what is held of others' bytes."""
-        for purpose in purposes.Purpose:
-            self.held_bytes.labels(purpose.value).set(
-                memory.held_bytes(purpose)
-            )
-            self.held_bytes_limit.labels(purpose.value).set(
-                memory.limit_bytes(purpose)
-            )
-            self.memory_denied.labels(purpose.value).set(
-                memory.denied_count(purpose)
-            )
-
     def render(self) -> bytes:
         """Return all metrics in the exposition format."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -8,6 +8,7 @@
 import trio
 
 from foxtailrelay_node.internal.memory import memory_budget
+from foxtailrelay_node.internal.memory import memory_metrics_collector
 from foxtailrelay_node.internal.relay.assembly import cluster_duties
 from foxtailrelay_node.internal.relay.assembly import cluster_view
 from foxtailrelay_node.internal.relay.assembly import peering
@@ -71,6 +72,9 @@
         self._memory = memory
         self._stop_requested = trio.Event()
         self._metrics = relay_metrics.RelayMetrics()
+        self._metrics.registry.register(
+            memory_metrics_collector.MemoryMetricsCollector(memory)
+        )
         self._log_queue = log_queue.LogQueue(
             sys.stdout.fileno(),
             settings.node_id,
@@ -248,7 +252,6 @@
         metrics.is_partitioned.set(self._links.is_partitioned())
         metrics.tunnels_carried.set(self._peers.tunnel_server.open_count)
         metrics.peers_up.set(len(self._peers.gossip.peers.live()))
-        metrics.record_memory(self._memory)
         if state.table is not None:
             metrics.configuration_version.set(state.table.version)
         return metrics.render()
