Send the head of a long request together with its body's beginning

test_early_answer_leaves_no_request_in_the_rest_of_a_body failed once in six requests: wrote the head by itself, the server answered it, and the connection was closed before a byte of the body. The beginning of the body goes with the head again.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -132,10 +132,10 @@
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
-    ) -> typing.Sequence[bytes]:
+    ) -> typing.Sequence[bytes | memoryview]:
         """Begin a request and return its parts, which are to be written.
 
-        A long body is a part of its own, which is not copied.
+        A long body is not copied.
 
         What arrived before cannot answer the request, whatever its id.
 
@@ -152,22 +152,21 @@
         if body or method not in ('GET', 'HEAD', 'DELETE'):
             length = (b'Content-Length', str(len(body)).encode())
             headers = [*headers, length]
-        parts = [
-            self._http.send(
-                h11.Request(method=method, target=target, headers=headers)
-            )
-        ]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        if self.sends_body_first(body):
-            parts = [b''.join(parts)]
+        head = self._http.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        data = self._http.send(h11.Data(data=body)) if body else b''
+        self._http.send(h11.EndOfMessage())
+        # Servers answer early to a head that comes by itself.
+        parts = [head + data[:_MAX_SEND_FIRST_BYTES]]
+        if not self.sends_body_first(body):
+            parts.append(memoryview(data)[_MAX_SEND_FIRST_BYTES:])
         self._state.begin(request_id)
         self.framing = Framing.NONE
         self._is_head_request = method == 'HEAD'
         return parts
 
-    async def write(self, parts: typing.Sequence[bytes]) -> None:
+    async def write(self, parts: typing.Sequence[bytes | memoryview]) -> None:
         """Write the parts of a request that has begun.
 
         A write that is cancelled or fails makes the connection unusable for
