--- a/soak/answer_guarantees.py
+++ b/soak/answer_guarantees.py
@@ -9,6 +9,8 @@
 from soak import request_record
 from standin import event_text
 
+# What stand-ins write between events.
+_COMMENT = b': \n\n'
 _EVENT = re.compile(rb'(?:id: (\d+)\n)?data: ([^\n]*)\n\n')
 _VERSIONS = (b'', b'v1', b'v2', b'v3')
 _SEAL = b'seal-'
@@ -187,6 +189,13 @@
     return [wrong] if wrong else []
 
 
+def _skip_comments(body: bytes, start: int) -> int:
+    """Return where the next event begins; comments are no part of it."""
+    while body.startswith(_COMMENT, start):
+        start += len(_COMMENT)
+    return start
+
+
 def _find_wrong_event(
     record: request_record.RequestRecord, engines: EngineRecords
 ) -> str:
@@ -194,7 +203,7 @@
     number = record.event_count + 1
     start = 0
     last = ''
-    while match := _EVENT.match(body, start):
+    while match := _EVENT.match(body, _skip_comments(body, start)):
         if number > record.total_events or match.group() not in (
             _expected_events(record, number, engines)
         ):
@@ -203,7 +212,9 @@
             last = engines.sources.describe_event(number, match.group(2))
         number += 1
         start = match.end()
-    rest = body[start:]
+    rest = body[_skip_comments(body, start) :]
+    if _COMMENT.startswith(rest) and not record.is_complete:
+        rest = b''
     if rest and not any(
         event.startswith(rest)
         for event in _expected_events(record, number, engines)
