Let the soak's nodes run a release of the history

Cause: five reports of streams out of order name no landing, and the soak could run an older release only before the working tree, never in its place.

Violations of the order of streams are counted by how the servers framed the answers.

--- a/Makefile
+++ b/Makefile
@@ -71,11 +71,13 @@
 SECONDS := 10
 # A commit of the release that runs first, or "landing" for the last one.
 PRODUCTION :=
+# A commit that the nodes run in place of the working tree.
+SOURCES :=
 SOAK := PYTHONPATH=.:tests:platform/tests $(PYTHON) -m soak
 
 soak: $(INSTALLED)
 	$(SOAK) --seeds $(SEEDS) --at-once $(AT_ONCE) --seconds $(SECONDS) \
-	    $(PRODUCTION:%=--production %)
+	    $(PRODUCTION:%=--production %) $(SOURCES:%=--sources %)
 
 soak-ci: $(INSTALLED)
 	$(foreach seed,$(filter-out $(KNOWN_RED_SEEDS),1 2), \
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 guarantees.
 """
 
+import collections
 import dataclasses
 import pathlib
 import random
@@ -60,6 +61,14 @@
             f'first, or "{releases.LANDING_NAME}"; empty for none.',
         ),
     ] = ''
+    sources: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help='Commit of the release that the nodes run in place of the '
+            f'working tree, or "{releases.LANDING_NAME}".',
+        ),
+    ] = ''
     only: typing.Annotated[
         str,
         cappa.Arg(
@@ -79,6 +88,7 @@
     violations: list[str]
     old_violations: list[str]
     history: list[str]
+    order_by_framing: collections.Counter[str]
 
 
 async def run_seed(
@@ -145,6 +155,9 @@
         [v.text for v in violations if not v.is_of_production],
         [v.text for v in violations if v.is_of_production],
         injector.history,
+        collections.Counter(
+            v.framing for v in violations if v.rule is answer_guarantees.ORDER
+        ),
     )
 
 
@@ -202,19 +215,29 @@
 
 async def _run(command: SoakCommand) -> int:
     with tempfile.TemporaryDirectory(prefix='soak-production-') as sources:
-        builds = [releases.working_tree()]
-        if command.production:
-            try:
-                old = releases.check_out(
-                    command.production, pathlib.Path(sources)
-                )
-            except releases.CommitNotFound as error:
-                print(f'soak: {error}', file=sys.stderr)
-                return 2
-            builds.insert(0, old)
+        try:
+            builds = _find_builds(command, pathlib.Path(sources))
+        except releases.CommitNotFound as error:
+            print(f'soak: {error}', file=sys.stderr)
+            return 2
         return await _run_seeds(command, builds)
 
 
+def _find_builds(
+    command: SoakCommand, folder: pathlib.Path
+) -> list[releases.Build]:
+    """Return the releases that the nodes run, the newest last."""
+    builds = [releases.working_tree()]
+    if command.sources:
+        builds = [
+            releases.check_out(command.sources, folder / 'sources', 'sources')
+        ]
+    if command.production:
+        old = releases.check_out(command.production, folder / 'production')
+        builds.insert(0, old)
+    return builds
+
+
 async def _run_seeds(
     command: SoakCommand, builds: typing.Sequence[releases.Build]
 ) -> int:
@@ -222,20 +245,32 @@
     first, _, last = command.seeds.partition('-')
     seeds = list(range(int(first), int(last or first) + 1))
     failed = 0
+    order_by_framing: collections.Counter[str] = collections.Counter()
+    seeds_with_order = 0
     limit = trio.CapacityLimiter(command.at_once)
 
     async def run_one(seed: int) -> None:
-        nonlocal failed
+        nonlocal failed, seeds_with_order
         async with limit:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
             outcome = await run_seed(seed, folder, command, builds)
         failed += bool(outcome.violations)
+        order_by_framing.update(outcome.order_by_framing)
+        seeds_with_order += bool(outcome.order_by_framing)
         _print_outcome(outcome, folder)
 
     async with trio.open_nursery() as nursery:
         for seed in seeds:
             nursery.start_soon(run_one, seed)
     print(f'{len(seeds) - failed} passed, {failed} failed')
+    framings = ', '.join(
+        f'{count} {framing}'
+        for framing, count in sorted(order_by_framing.items())
+    )
+    print(
+        f'streams out of order in {seeds_with_order} of {len(seeds)} seeds: '
+        f'{framings or "none"}'
+    )
     return 1 if failed else 0
 
 
--- a/soak/answer_guarantees.py
+++ b/soak/answer_guarantees.py
@@ -16,6 +16,9 @@
 _SEAL = b'seal-'
 _SHOWN_BYTES = 200
 _SENT_WITHOUT_ID = (400, 408, 413, 431)
+# Rule of the events of a stream and of its end.
+ORDER = 'ORDER'
+_ORDER_TEXTS = ('complete after', 'in place of', 'after event')
 
 
 class EngineRecords(typing.NamedTuple):
@@ -54,11 +57,17 @@
         The request whose answer shows it.
     is_of_production : bool
         Whether only nodes of the release in production show it.
+    rule : str
+        The rule that is broken, if it has a name here.
+    framing : str
+        How the answers to the request were framed by the servers.
     """
 
     text: str
     record: request_record.RequestRecord | None = None
     is_of_production: bool = False
+    rule: str = ''
+    framing: str = ''
 
     @classmethod
     def from_record(
@@ -68,6 +77,10 @@
         is_old = record is not None and record.is_old_release
         return cls(text, record, is_old)
 
+    def of_order(self, framing: str) -> 'Violation':
+        """Return the same violation as one of the order of a stream."""
+        return self._replace(rule=ORDER, framing=framing)
+
 
 def find_violations(
     connections: typing.Iterable[recorded_connection.RecordedConnection],
@@ -86,16 +99,31 @@
             )
         for record in connection.records:
             violations += [
-                Violation.from_record(
-                    f'{record.kind} {record.path} {record.request_id} at '
-                    f'{record.host}: {text}',
-                    record,
-                )
+                _describe_answer(text, record, engines)
                 for text in check_answer(record, engines)
             ]
     return violations
 
 
+def _describe_answer(
+    text: str, record: request_record.RequestRecord, engines: EngineRecords
+) -> Violation:
+    violation = Violation.from_record(
+        f'{record.kind} {record.path} {record.request_id} at {record.host}: '
+        f'{text}',
+        record,
+    )
+    if (
+        record.is_stream
+        and engines.sources is not None
+        and text.startswith(_ORDER_TEXTS)
+    ):
+        return violation.of_order(
+            engines.sources.framings_of([record.request_id])
+        )
+    return violation
+
+
 def _last_begun(
     connection: recorded_connection.RecordedConnection,
 ) -> request_record.RequestRecord | None:
--- a/soak/event_guarantees.py
+++ b/soak/event_guarantees.py
@@ -75,7 +75,7 @@
         f'{last.kind} {last.path} {names}: {text}; {runs}',
         last,
         records[0].is_old_release or last.is_old_release,
-    )
+    ).of_order(sources.framings_of(record.request_id for record in records))
 
 
 def _read_events(
--- a/soak/event_sources.py
+++ b/soak/event_sources.py
@@ -5,6 +5,7 @@
 
 from soak import server_process
 
+CHUNKED = 'chunked'
 _SHOWN_BYTES = 60
 
 
@@ -19,16 +20,22 @@
         The event after which it was to begin; 0 for the beginning.
     numbers : frozenset of int
         The events that it wrote.
+    framing : str
+        What marked the end of its answer.
     """
 
     process: server_process.ServerProcess
     after: int
     numbers: frozenset[int]
+    framing: str = CHUNKED
 
     def describe(self) -> str:
         """Return the process and the events for messages."""
         events = ', '.join(map(str, sorted(self.numbers))) or 'none'
-        return f'{self.process.describe()} after {self.after}: {events}'
+        text = f'{self.process.describe()} after {self.after}: {events}'
+        if self.framing != CHUNKED:
+            text += f' ({self.framing})'
+        return text
 
 
 class EventSources:
@@ -50,7 +57,12 @@
             self._process_by_source[source] = process
             for run in process.stand_in.stream_runs:
                 self._runs_by_id[run.request_id].append(
-                    Run(process, run.after, frozenset(run.numbers))
+                    Run(
+                        process,
+                        run.after,
+                        frozenset(run.numbers),
+                        run.framing,
+                    )
                 )
 
     def names_of(self, request_id: str) -> list[bytes]:
@@ -90,6 +102,15 @@
             return f'event {number} ({text[:_SHOWN_BYTES]!r})'
         return f'event {number} of {process.describe()}'
 
+    def framings_of(self, request_ids: typing.Iterable[str]) -> str:
+        """Return how the runs of requests were framed."""
+        framings = {
+            run.framing
+            for request_id in request_ids
+            for run in self._runs_by_id.get(request_id, [])
+        }
+        return ' and '.join(sorted(framings)) or 'without a run'
+
     def describe_runs(self, request_id: str) -> str:
         """Return all runs of a request for messages."""
         runs = self._runs_by_id.get(request_id, [])
