--- a/packages/core/src/foxtailrelay_core/internal/message_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_codec.py
@@ -9,6 +9,7 @@
 
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import process_messages
 from foxtailrelay_core.internal import stream_messages
 from foxtailrelay_core.internal import tunnel_messages
 from foxtailrelay_core import record_fields
@@ -34,9 +35,18 @@
     'streamFound': stream_messages.StreamFound,
     'tunnelOpen': tunnel_messages.TunnelOpen,
     'tunnelAnswer': tunnel_messages.TunnelAnswer,
+    'processQuery': process_messages.ProcessQuery,
+    'processFound': process_messages.ProcessFound,
 }
 _LIST_FIELDS = frozenset(
-    ('have_starts', 'have_sequences', 'part_ids', 'part_tokens', 'excluded')
+    (
+        'have_starts',
+        'have_sequences',
+        'part_ids',
+        'part_tokens',
+        'excluded',
+        *process_messages.ProcessFound._fields,
+    )
 )
 _FIELD_BY_TYPE = {kind: name for name, kind in _TYPE_BY_FIELD.items()}
 _ITEM_TYPE_BY_FIELD: dict[tuple[typing.Any, str], typing.Any] = {
--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import process_messages
 from foxtailrelay_core.internal import stream_messages
 from foxtailrelay_core.internal import tunnel_messages
 
@@ -483,6 +484,8 @@
     | place_messages.PlaceCall
     | place_messages.PlaceAnswer
     | place_messages.PlaceNote
+    | process_messages.ProcessFound
+    | process_messages.ProcessQuery
     | stream_messages.StreamFound
     | stream_messages.StreamOrigin
     | stream_messages.StreamQuery
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -25,6 +25,8 @@
     streamFound @16 :StreamFound;
     tunnelOpen @17 :TunnelOpen;
     tunnelAnswer @18 :TunnelAnswer;
+    processQuery @19 :ProcessQuery;
+    processFound @20 :ProcessFound;
   }
 }
 
@@ -288,3 +290,17 @@
   tunnelState @0 :UInt8;
   reason @1 :Text;
 }
+
+struct ProcessQuery {
+  server @0 :Text;
+  startedMs @1 :UInt64;
+}
+
+struct ProcessFound {
+  # Milliseconds before this message.
+  endedAgesMs @0 :List(UInt32);
+  cutAgesMs @1 :List(UInt32);
+  # One at most.
+  begunAgesMs @2 :List(UInt32);
+  lostAgesMs @3 :List(UInt32);
+}
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -10,6 +10,7 @@
 from foxtailrelay_core.internal import message_codec
 from foxtailrelay_core.internal import message_types
 from foxtailrelay_core.internal import place_messages
+from foxtailrelay_core.internal import process_messages
 from foxtailrelay_core.internal import receive_room
 from foxtailrelay_core.internal import report_codec
 from foxtailrelay_core.internal import stream_messages
@@ -44,6 +45,8 @@
 PlaceCall = place_messages.PlaceCall
 PlaceEvent = place_messages.PlaceEvent
 PlaceNote = place_messages.PlaceNote
+ProcessFound = process_messages.ProcessFound
+ProcessQuery = process_messages.ProcessQuery
 QuarantinedSuspect = message_types.QuarantinedSuspect
 Refusal = message_types.Refusal
 ReportCopy = message_types.ReportCopy
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -4,6 +4,7 @@
 
 from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.assembly import cluster_view
+from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
@@ -16,6 +17,7 @@
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import node_registry
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -68,6 +70,8 @@
         Places requests for services that this node dispatches.
     origins : StreamOrigins
         Software versions that began streams.
+    signs : PeerSigns
+        What the nodes see of the processes of servers.
     tunnels : TunnelClient
         Reaches backend servers through other nodes.
     tunnel_server : TunnelServer
@@ -143,6 +147,13 @@
         self.origins = stream_origins.StreamOrigins(
             view.servers, self.gossip.peers, self._stream_client, clock
         )
+        self._signs_client = dispatch_client.DispatchClient(dialer)
+        self.signs = peer_signs.PeerSigns(
+            process_signs.ProcessSignsTable(),
+            self.gossip.peers,
+            self._signs_client,
+            clock,
+        )
         self.tunnels = tunnel_client.TunnelClient(
             settings.zone, self.gossip.peers, dialer, clock
         )
@@ -154,6 +165,7 @@
             self.dispatcher,
             self.origins,
             self.tunnel_server,
+            self.signs,
             memory,
         )
         self.placer = request_placer.RequestPlacer(
@@ -177,6 +189,7 @@
             nursery.start_soon(self._exchange_client.run)
             nursery.start_soon(self._dispatch_client.run)
             nursery.start_soon(self._stream_client.run)
+            nursery.start_soon(self._signs_client.run)
             nursery.start_soon(self._registry.run)
 
     def rank_followers(self, node_ids: list[str]) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -102,6 +102,8 @@
         verdict = await self._find_verdict_of_end()
         if isinstance(verdict, results.Broken):
             return verdict
+        if not verdict.may_be_told:
+            return results.Broken(verdict.value, True)
         self._record_end()
         self._context.record_usage(self._job, self._progress)
         if not head.is_success:
@@ -212,8 +214,8 @@
         self._record_end()
         self._context.record_usage(self._job, self._progress)
         rest = splitter.take_rest()
-        if verdict is not answer_end.EndVerdict.WHOLE:
-            return results.Unconfirmed(rest)
+        if not verdict.is_certain:
+            return results.Unconfirmed(rest, verdict.may_be_told)
         self._progress.settle_end()
         await self._start_answer(head)
         if rest:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -1,37 +1,30 @@
 """Runs the attempts of a request."""
 
-import random
-
 from foxtailrelay_core import errors
 from foxtailrelay_core import messages
-import logbook
 import trio
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import attempt_log
 from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.attempts import request_checks
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_connector
 from foxtailrelay_node.internal.relay.attempts import stream_versions
-from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
-from foxtailrelay_node.internal.relay.policy import isolation_delay
 from foxtailrelay_node.internal.relay.policy import placement_result
-from foxtailrelay_node.internal.relay.policy import request_fingerprint
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
 from foxtailrelay_node.internal.relay import wire_format
 
-_LOG = logbook.Logger('foxtailrelay.requests')
 # With less time before its deadline a request is not sent, and the end of a
 # stream is told.
 _MIN_REMAINING_S = 0.02
 # Delay before the retry of a request that another server can probably accept.
 _MIN_RETRY_AFTER_S = 0.1
-# Of an answer of this length that has no end at its deadline, none is to come.
-_UNENDING_BYTES = 1 << 24
 _EVENT_BY_RESULT = {
     results.Done: messages.PlaceEvent.DONE,
     results.Unconfirmed: messages.PlaceEvent.DONE,
@@ -55,7 +48,8 @@
         self._evidence = crash_evidence.CrashEvidence(context)
         self._streams = stream_versions.StreamVersions(context)
         self._connector = server_connector.ServerConnector(context)
-        self._rng = random.Random()
+        self._checks = request_checks.RequestChecks(context)
+        self._log = attempt_log.AttemptLog(context)
 
     async def run(
         self,
@@ -84,7 +78,7 @@
     ) -> errors.Failure | None:
         unreachable: set[str] = set()
         while True:
-            refusal = self._recheck_stop(job, progress)
+            refusal = self._checks.recheck_stop(job, progress)
             if refusal is not None:
                 return refusal
             excluded = self._streams.exclude_servers(job, progress)
@@ -97,7 +91,7 @@
                 is_retry=progress.sent_count > 0,
             )
             if isinstance(placed, placement_result.NotPlaced):
-                return self._fail_unplaced(job, progress, placed)
+                return self._checks.fail_unplaced(job, progress, placed)
             result = await self._attempt(job, placed, progress, connection)
             if result is None:
                 unreachable.add(placed.view.server.id)
@@ -134,14 +128,14 @@
                     event = messages.PlaceEvent.FAILED
                     self._context.loads.record_failure(server)
                 if backend.is_isolated:
-                    return self._fail_isolated(job, progress, backend)
+                    return self._checks.fail_isolated(job, progress, backend)
                 return None
             # Keys, servers and quarantines may have changed while connecting.
-            refusal = self._recheck_key(job)
+            refusal = self._checks.recheck_key(job, progress)
             if refusal is None:
-                refusal = self._recheck_quarantine(job, progress)
+                refusal = self._checks.recheck_quarantine(job, progress)
             if refusal is None:
-                refusal = self._recheck_stop(job, progress)
+                refusal = self._checks.recheck_stop(job, progress)
             if refusal is not None:
                 await backend.aclose()
                 return refusal
@@ -158,14 +152,14 @@
                 job, server, progress, result
             )
             is_link_cut |= backend.is_hop_lost
-            self._record_result(
+            self._log.record_result(
                 job, placed, progress, result, backend, is_link_cut
             )
             event = _EVENT_BY_RESULT[type(result)]
             is_rejected = _is_rejected(result)
             if is_crash:
                 event = messages.PlaceEvent.FAILED
-            elif is_link_cut or _is_blameless(result):
+            elif is_link_cut or results.is_blameless(result):
                 event = messages.PlaceEvent.LEFT
             return result
         finally:
@@ -181,8 +175,9 @@
     ) -> errors.Failure | None:
         """Ask another server for what follows the last event of a stream.
 
-        The end is told if no server knows of a later event: servers that name
-        no length cannot confirm it.
+        Servers that name no length cannot confirm an end.  So it is told if
+        none knows of a later event, unless the process that sent it may be
+        ending.
         """
         if self._has_another(job, progress) and self._may_retry(
             job, progress, result
@@ -193,6 +188,11 @@
             progress.settle_end()
             if is_settled or progress.position.has_later_events:
                 return failure
+        if not result.may_be_told:
+            return errors.Failure(
+                errors.ErrorKind.BACKEND_FAILED,
+                'the process of the stream may have ended',
+            )
         if result.rest:
             await connection.send_part(result.rest)
         await connection.finish_answer()
@@ -225,114 +225,6 @@
             failure = await self._run(job, progress, connection)
         return failure
 
-    def _fail_unplaced(
-        self,
-        job: jobs.Job,
-        progress: progresses.Progress,
-        result: placement_result.NotPlaced,
-    ) -> errors.Failure:
-        if result.quarantined_id:
-            return _quarantine_failure(
-                result.quarantined_id,
-                result.why,
-                result.retry_after_s,
-                progress,
-            )
-        self._context.budget.record_refusal(job.service, self._context.now_s())
-        if progress.may_have_run:
-            return errors.Failure(
-                errors.ErrorKind.BACKEND_FAILED,
-                'the backend server failed and no other one is available',
-            )
-        kind = errors.ErrorKind.NO_BACKEND
-        if result.has_servers:
-            kind = errors.ErrorKind.OVERLOADED
-        return errors.Failure(
-            kind, result.why, retry_after_s=round(result.retry_after_s, 2)
-        )
-
-    def _fail_isolated(
-        self,
-        job: jobs.Job,
-        progress: progresses.Progress,
-        unreachable: server_dialer.Unreachable,
-    ) -> errors.Failure:
-        """Refuse at once: other servers cannot be reached either."""
-        if progress.may_have_run:
-            return errors.Failure(
-                errors.ErrorKind.BACKEND_FAILED, unreachable.reason
-            )
-        self._context.budget.record_refusal(job.service, self._context.now_s())
-        delay_s = isolation_delay.choose_delay_s(
-            self._context.links.unreached_s(),
-            self._context.urgency(job),
-            self._rng,
-        )
-        return errors.Failure(
-            errors.ErrorKind.NO_BACKEND,
-            unreachable.reason,
-            retry_after_s=round(delay_s, 2),
-        )
-
-    def _recheck_key(self, job: jobs.Job) -> errors.Failure | None:
-        """Return a failure if the key is no longer known to be valid."""
-        if job.access.organisation is None:
-            return None
-        if not self._context.state.is_fresh():
-            return errors.Failure(
-                errors.ErrorKind.STALE_CONFIGURATION,
-                'the key could not be revalidated before sending',
-            )
-        key = job.request.api_key or ''
-        if key not in self._context.state.table.organisation_by_key:
-            return errors.Failure(
-                errors.ErrorKind.UNAUTHENTICATED,
-                'the key was revoked; send a valid key',
-            )
-        return None
-
-    def _recheck_stop(
-        self, job: jobs.Job, progress: progresses.Progress
-    ) -> errors.Failure | None:
-        """Return a failure if the request cannot end before the node does.
-
-        A stream that the caller has in part is cut without another attempt,
-        so nothing is lost by one.
-        """
-        stop = self._context.state.stop
-        if stop is None or progress.stream_head is not None:
-            return None
-        route = job.access.route
-        if stop.allows(
-            self._context.now_s(),
-            job.deadline_s,
-            self._context.durations.expected_s(route.name),
-            not (route.is_idempotent or route.is_stream),
-        ):
-            return None
-        kind = errors.ErrorKind.LEAVING
-        if progress.may_have_run:
-            kind = errors.ErrorKind.BACKEND_FAILED
-        return errors.Failure(
-            kind, 'the node exits before the request would end'
-        )
-
-    def _recheck_quarantine(
-        self, job: jobs.Job, progress: progresses.Progress
-    ) -> errors.Failure | None:
-        """Return a failure if the request is now in quarantine."""
-        quarantine = self._context.quarantine.find(
-            job.service, job.suspect_ids
-        )
-        if quarantine is None:
-            return None
-        return _quarantine_failure(
-            quarantine.suspect_id,
-            quarantine.why,
-            self._context.quarantine.remaining_s(quarantine),
-            progress,
-        )
-
     async def _send(
         self,
         job: jobs.Job,
@@ -401,7 +293,7 @@
             is_reusable = exchange.is_complete
             return result
         except trio.Cancelled:
-            self._record_cancelled(
+            self._log.record_cancelled(
                 job, placed, progress, backend, exchange.has_answered
             )
             raise
@@ -417,99 +309,6 @@
                 with trio.CancelScope(shield=True):
                     await backend.aclose()
 
-    def _record_result(
-        self,
-        job: jobs.Job,
-        placed: placement_result.Placed,
-        progress: progresses.Progress,
-        result: results.Result,
-        backend: backend_connection.BackendConnection,
-        is_link_cut: bool,
-    ) -> None:
-        server = placed.view.server
-        if backend.framing.is_shown_by_bytes:
-            self._context.prover.unframed.record_framed(server.instance_key)
-        outcome = type(result).__name__.lower()
-        self._context.metrics.attempts.labels(job.service, outcome).inc()
-        fields = self._describe_attempt(job, server, progress, backend) | {
-            'outcome': outcome,
-            'first_s': _rounded(progress.first_part_s),
-            'gap_s': _rounded(progress.max_gap_s),
-        }
-        if is_link_cut:
-            fields['link_cut'] = True
-        match result:
-            case results.Done() | results.Unconfirmed():
-                self._context.loads.record_success(server)
-            case results.NotRun(reason=reason) | results.Broken(reason=reason):
-                if not (is_link_cut or _is_blameless(result)):
-                    self._context.loads.record_failure(server)
-                fields['reason'] = reason
-                if isinstance(result, results.Broken):
-                    fields['fingerprint'] = job.fingerprint
-                    fields['parts'] = ','.join(job.shared_part_ids)
-            case results.ServerFailure(head=head):
-                fields['status'] = head.status
-        _LOG.info('attempt-ended', extra=fields)
-
-    def _record_cancelled(
-        self,
-        job: jobs.Job,
-        placed: placement_result.Placed,
-        progress: progresses.Progress,
-        backend: backend_connection.BackendConnection,
-        has_answered: bool,
-    ) -> None:
-        """Record an attempt that ended by the deadline or a disconnect."""
-        server = placed.view.server
-        now_s = self._context.now_s()
-        if now_s >= job.deadline_s and (
-            not has_answered or progress.long_bytes > _UNENDING_BYTES
-        ):
-            # The server accepted the request and never ended its answer.
-            self._context.loads.record_failure(server)
-            if self._context.links.has_heard_since(progress.attempt_sent_at_s):
-                # Otherwise this node's own links may be cut, which must not
-                # count against the server at the dispatcher.
-                placed.reservation.record_end(messages.PlaceEvent.FAILED)
-        self._context.metrics.attempts.labels(job.service, 'cancelled').inc()
-        _LOG.info(
-            'attempt-ended',
-            extra=self._describe_attempt(job, server, progress, backend)
-            | {'outcome': 'cancelled', 'answered': has_answered},
-        )
-
-    def _describe_attempt(
-        self,
-        job: jobs.Job,
-        server: backend_server.BackendServer,
-        progress: progresses.Progress,
-        backend: backend_connection.BackendConnection,
-    ) -> dict[str, object]:
-        """Return where an attempt's part of the answer came from."""
-        position = progress.position
-        fields: dict[str, object] = {
-            'request': job.request.request_id,
-            'attempt': progress.sent_count,
-            'server': server.id,
-            'started_ms': server.started_ms,
-            'version': server.version or 'unknown',
-            'framing': backend.framing.value,
-            'after_s': round(self._context.now_s() - job.received_at_s, 3),
-        }
-        if backend.peer_id is not None:
-            fields['through'] = backend.peer_id
-        if backend.is_close_delimited:
-            fields['without_length'] = True
-        if position.added_count:
-            fields['events'] = position.added_count
-            fields['first_event'] = position.first_id_of_answer
-        if progress.forwarded_event_id is not None:
-            fields['last_event'] = progress.forwarded_event_id
-        if progress.end_proof:
-            fields['end_proof'] = progress.end_proof
-        return fields
-
     def _may_retry(
         self,
         job: jobs.Job,
@@ -574,30 +373,6 @@
     return failure
 
 
-def _quarantine_failure(
-    suspect_id: str,
-    why: str,
-    remaining_s: float,
-    progress: progresses.Progress,
-) -> errors.Failure:
-    if progress.may_have_run:
-        return errors.Failure(errors.ErrorKind.BACKEND_FAILED, why)
-    kind = errors.ErrorKind.PROMPT_QUARANTINED
-    if request_fingerprint.is_fingerprint(suspect_id):
-        kind = errors.ErrorKind.REQUEST_QUARANTINED
-    return errors.Failure(kind, why, retry_after_s=round(remaining_s, 2))
-
-
-def _is_blameless(result: results.Result) -> bool:
-    """Whether a failed attempt says nothing about its server."""
-    match result:
-        case results.NotRun(is_quiet_request=is_blameless):
-            return is_blameless
-        case results.Broken():
-            return result.is_without_room or result.is_at_deadline
-    return False
-
-
 def _is_cut(
     result: results.Result, backend: backend_connection.BackendConnection
 ) -> bool:
@@ -611,7 +386,3 @@
 
 def _is_rejected(result: results.Result) -> bool:
     return isinstance(result, results.NotRun) and result.is_rejected
-
-
-def _rounded(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 3)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -10,12 +10,18 @@
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.policy import answer_end
 
 _LOG = logbook.Logger('foxtailrelay.requests')
 _POLL_INTERVAL_S = 0.1
 _REASON = 'the connection ended the answer'
+_VERDICT_BY_HEALTH = {
+    health_check.HealthCheck.HEALTHY: answer_end.EndVerdict.HEALTHY,
+    health_check.HealthCheck.UNHEALTHY: answer_end.EndVerdict.UNHEALTHY,
+    health_check.HealthCheck.UNKNOWN: answer_end.EndVerdict.UNKNOWN,
+}
 _RUNNING = (
     server_end_checker.ServerCheck.RUNNING,
     server_end_checker.ServerCheck.LINK_CUT,
@@ -81,6 +87,9 @@
             self._record_placed_end()
             verdict = await self._wait_for_verdict(end)
             if isinstance(verdict, answer_end.EndVerdict):
+                if verdict.is_doubt:
+                    verdict = await self._resolve_doubt(verdict)
+                self._progress.end_proof = verdict.value
                 self._count(verdict.name)
                 return verdict
             doubt = verdict
@@ -125,8 +134,7 @@
             if verdict is answer_end.EndVerdict.LOST:
                 return verdict.value
             if verdict is not answer_end.EndVerdict.PENDING:
-                self._progress.end_proof = verdict.value
-                return verdict
+                return await self._judge_with_peers(end, lived_at_s)
             if now_s >= due_s:
                 doubt = await self._find_doubt(is_last=True)
                 if doubt:
@@ -137,6 +145,39 @@
             else:
                 await trio.sleep(min(_POLL_INTERVAL_S, due_s - now_s))
 
+    async def _judge_with_peers(
+        self, end: answer_end.AnswerEnd, lived_at_s: float
+    ) -> answer_end.EndVerdict | str:
+        signs = await self._context.prover.peer_signs.find(
+            self._server.instance_key, self._progress.answer_number
+        )
+        verdict = answer_end.judge(end, signs._replace(lived_at_s=lived_at_s))
+        if verdict is answer_end.EndVerdict.LOST:
+            return verdict.value
+        return verdict
+
+    async def _resolve_doubt(
+        self, verdict: answer_end.EndVerdict
+    ) -> answer_end.EndVerdict:
+        """Ask the process whether it is healthy, if the service allows it."""
+        servers = self._context.servers
+        if verdict is answer_end.EndVerdict.UNCONFIRMED and (
+            servers.has_announced_end(self._server)
+            or not servers.is_listed(self._server)
+        ):
+            return answer_end.EndVerdict.LEAVING
+        path = self._context.state.health_path(self._server.service)
+        if not path:
+            return verdict
+        check = await self._context.prover.health.check(self._server, path)
+        if (
+            check is health_check.HealthCheck.HEALTHY
+            and verdict is answer_end.EndVerdict.COINCIDENT
+        ):
+            # Another worker of the process may have answered.
+            return verdict
+        return _VERDICT_BY_HEALTH[check]
+
     def _is_known_to_have_ended(self) -> bool:
         end_checker = self._context.end_checker
         return end_checker.has_ended(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -9,15 +9,16 @@
 from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.memory import memory_lease
 from foxtailrelay_node.internal.memory import purpose as purposes
+from foxtailrelay_node.internal.relay.attempts import health_prober
 from foxtailrelay_node.internal.relay.attempts import worker_watch
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import missing_reports
-from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay.backends import unframed_servers
 from foxtailrelay_node.internal.relay.backends import unlisted_processes
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import backend_connection
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import ticks
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
@@ -75,6 +76,8 @@
         Clock for the times of reports.
     memory : MemoryBudget
         Bounds what is held of reports.
+    signs : PeerSigns
+        Signs that the processes of servers live on or end.
 
     Attributes
     ----------
@@ -85,7 +88,11 @@
     unlisted : UnlistedProcesses
         Processes that have reported in place of listed ones.
     signs : ProcessSignsTable
-        Signs that the processes of servers live on or end.
+        What this node has seen of the processes of servers.
+    peer_signs : PeerSigns
+        What all nodes have seen of them.
+    health : HealthProber
+        Asks servers whether they are healthy.
     workers : WorkerWatch
         Shows ends of workers of the servers that answer without a length.
     """
@@ -97,6 +104,7 @@
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
         memory: memory_budget.MemoryBudget,
+        signs: peer_signs.PeerSigns,
     ) -> None:
         self._dialer = dialer
         self._memory = memory
@@ -107,7 +115,11 @@
         self.missing = missing_reports.MissingReports()
         self.unframed = unframed_servers.UnframedServers()
         self.unlisted = unlisted_processes.UnlistedProcesses()
-        self.signs = process_signs.ProcessSignsTable()
+        self.signs = signs.table
+        self.peer_signs = signs
+        self.health = health_prober.HealthProber(
+            dialer, report_format, metrics
+        )
         self.workers = worker_watch.WorkerWatch(
             dialer, self._ask, self.signs, clock
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
@@ -26,9 +26,12 @@
     ----------
     rest : bytes
         What the server wrote after the last event.
+    may_be_told : bool
+        Whether the end counts if no other server contradicts it.
     """
 
     rest: bytes
+    may_be_told: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,3 +86,13 @@
 
 
 Result = Done | Unconfirmed | NotRun | Broken | ServerFailure
+
+
+def is_blameless(result: Result) -> bool:
+    """Whether a failed attempt says nothing about its server."""
+    match result:
+        case NotRun(is_quiet_request=is_quiet):
+            return is_quiet
+        case Broken():
+            return result.is_without_room or result.is_at_deadline
+    return False
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/instance_report.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/instance_report.py
@@ -5,6 +5,7 @@
 import typing
 
 from foxtailrelay_node.internal.relay.backends import backend_server
+from foxtailrelay_node.internal.relay.backends import health_check
 
 
 class InstanceProof(enum.Enum):
@@ -17,7 +18,7 @@
 
 
 class ReportRequest(typing.NamedTuple):
-    """A request for a report.
+    """A request for a report or a health check.
 
     Parameters
     ----------
@@ -71,6 +72,21 @@
     ) -> ReportRequest:
         """Return the request that only this server is to answer."""
 
+    @abc.abstractmethod
+    def encode_health_request(
+        self, server: backend_server.BackendServer, path: str
+    ) -> ReportRequest:
+        """Return a health check that only this server is to answer."""
+
+    @abc.abstractmethod
+    def decode_health(
+        self,
+        server: backend_server.BackendServer,
+        status: int,
+        headers: typing.Sequence[tuple[bytes, bytes]],
+    ) -> health_check.HealthCheck:
+        """Return what the answer to a health check shows."""
+
     @abc.abstractmethod
     def decode_answer(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -7,6 +7,8 @@
 import math
 import typing
 
+from foxtailrelay_core import messages
+
 from foxtailrelay_node.internal.relay.policy import answer_end
 
 _MAX_ENDS = 64
@@ -96,6 +98,19 @@
         """Record that a connection on which reports came was lost."""
         self._get(key).lost_at_s = at_s
 
+    def describe(
+        self, key: tuple[str, int], now_s: float
+    ) -> messages.ProcessFound:
+        """Return what this node has seen of a process, for another one."""
+        signs = self.find(key, 0)
+        since_s = now_s - answer_end.ENDS_KEPT_S
+        return messages.ProcessFound(
+            _ages_ms(signs.ended_at_s, since_s, now_s),
+            _ages_ms(signs.cut_at_s, since_s, now_s),
+            _ages_ms([signs.begun_at_s], since_s, now_s),
+            _ages_ms([signs.lost_at_s], since_s, now_s),
+        )
+
     def find(
         self, key: tuple[str, int], number: int
     ) -> answer_end.ProcessSigns:
@@ -129,6 +144,33 @@
         return signs
 
 
+def from_peer(
+    found: messages.ProcessFound, now_s: float
+) -> answer_end.ProcessSigns:
+    """Return the signs that another node has just described."""
+
+    def times_s(ages_ms: typing.Sequence[int]) -> list[float]:
+        return [now_s - age_ms / 1000 for age_ms in ages_ms]
+
+    return answer_end.ProcessSigns(
+        -math.inf,
+        max(times_s(found.lost_ages_ms), default=-math.inf),
+        times_s(found.ended_ages_ms),
+        max(times_s(found.begun_ages_ms), default=-math.inf),
+        times_s(found.cut_ages_ms),
+    )
+
+
+def _ages_ms(
+    times_s: typing.Iterable[float], since_s: float, now_s: float
+) -> tuple[int, ...]:
+    return tuple(
+        max(0, round((now_s - at_s) * 1000))
+        for at_s in times_s
+        if at_s >= since_s
+    )
+
+
 def _find_begin_s(answer: AnswerUnderWay) -> float:
     """Return when the request of an answer with an event was sent."""
     if answer.attempt_first_event_at_s is None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/catalogue/service.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/catalogue/service.py
@@ -52,8 +52,11 @@
         Set for model engines.
     scaling : ScalingOptions or None
         Set if engines may be ordered.
+    health_path : str
+        Target of health checks of its servers; empty if there are none.
     """
 
     name: str
     model: ModelProfile | None
     scaling: ScalingOptions | None
+    health_path: str = ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -189,6 +189,11 @@
         """Return seconds since the configuration was confirmed."""
         return self.follower.view.age_s(self._clock.boot_s())
 
+    def health_path(self, service: str) -> str:
+        """Return the target of a service's health checks, if it has one."""
+        known = self.table and self.table.service_by_name.get(service)
+        return known.health_path if known else ''
+
     def is_fresh(self) -> bool:
         """Whether the configuration is recent enough to validate keys."""
         return (
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatcher as dispatchers
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import peer_versions
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.tunnels import tunnel_server
@@ -35,6 +36,8 @@
         Keeps where streams of other nodes began.
     tunnels : TunnelServer
         Carries connections to backend servers.
+    signs : PeerSigns
+        What this node sees of the processes of servers.
     memory : MemoryBudget
         Bounds what all connections hold of messages.
     """
@@ -47,6 +50,7 @@
         dispatcher: dispatchers.Dispatcher,
         origins: stream_origins.StreamOrigins,
         tunnels: tunnel_server.TunnelServer,
+        signs: peer_signs.PeerSigns,
         memory: memory_budget.MemoryBudget,
     ) -> None:
         self._memory = memory
@@ -55,6 +59,7 @@
         self._dispatcher = dispatcher
         self._origins = origins
         self._tunnels = tunnels
+        self._signs = signs
         self._idle_timeout_s = idle_timeout_s
         self._clock = clock
 
@@ -97,6 +102,8 @@
                         continue
                     case messages.StreamQuery():
                         answer = self._origins.handle_query(message)
+                    case messages.ProcessQuery():
+                        answer = self._signs.handle_query(message)
                     case messages.TunnelOpen():
                         answer, server = await self._tunnels.open(message)
                         if server is not None:
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -0,0 +1,100 @@
+"""What other nodes see of the processes of backend servers."""
+
+from foxtailrelay_core import messages
+import trio
+
+from foxtailrelay_node.internal.relay.backends import process_signs
+from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay.dispatch import dispatch_client
+from foxtailrelay_node.internal.relay.peers import address_book
+from foxtailrelay_node.internal.relay.peers import peer_table
+from foxtailrelay_node.internal.relay.policy import answer_end
+
+_QUERY_TIMEOUT_S = 0.25
+# In a larger cluster the nodes with most requests at the server are asked.
+_MAX_PEERS = 11
+
+
+class PeerSigns:
+    """Shares signs of ending processes between nodes.
+
+    One node has few answers of a process at a time, so that several of them
+    seldom end together there; over all nodes they do.
+
+    Parameters
+    ----------
+    table : ProcessSignsTable
+        What this node has seen.
+    peers : PeerTable
+        The other nodes.
+    client : DispatchClient
+        Connections to them.
+    clock : Clock
+        Clock for the times of signs.
+    """
+
+    def __init__(
+        self,
+        table: process_signs.ProcessSignsTable,
+        peers: peer_table.PeerTable,
+        client: dispatch_client.DispatchClient,
+        clock: clocks.Clock,
+    ) -> None:
+        self.table = table
+        self._peers = peers
+        self._client = client
+        self._clock = clock
+
+    def handle_query(
+        self, query: messages.ProcessQuery
+    ) -> messages.ProcessFound:
+        """Answer a peer."""
+        return self.table.describe(
+            (query.server, query.started_ms), self._clock.boot_s()
+        )
+
+    async def find(
+        self, key: tuple[str, int], number: int
+    ) -> answer_end.ProcessSigns:
+        """Return the signs of a process that this and other nodes have seen.
+
+        Parameters
+        ----------
+        key : tuple of str and int
+            Id and start of the instance.
+        number : int
+            The answer at this node whose own signs are left out.
+        """
+        found: list[answer_end.ProcessSigns] = []
+
+        async def ask(address: address_book.PeerAddress) -> None:
+            answer = await self._client.request(
+                address, messages.ProcessQuery(*key), _QUERY_TIMEOUT_S
+            )
+            if isinstance(answer, messages.ProcessFound):
+                now_s = self._clock.boot_s()
+                found.append(process_signs.from_peer(answer, now_s))
+
+        async with trio.open_nursery() as nursery:
+            for address in self._choose(key[0]):
+                nursery.start_soon(ask, address)
+        signs = self.table.find(key, number)
+        for peer in found:
+            signs = signs.merge(peer)
+        return signs
+
+    def _choose(self, server_id: str) -> list[address_book.PeerAddress]:
+        """Return the peers to ask, those with most requests there first."""
+
+        def running(peer: peer_table.PeerReport) -> int:
+            return sum(
+                load.running
+                for load in peer.report.loads
+                if load.server == server_id
+            )
+
+        peers = sorted(self._peers.live(), key=running, reverse=True)
+        return [
+            address_book.PeerAddress(peer.report.host, peer.report.peer_port)
+            for peer in peers[:_MAX_PEERS]
+        ]
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -15,8 +15,13 @@
 # The kernel closes the connections of a worker together; a node may read
 # their ends one after another.
 _SAME_MOMENT_S = 0.1
-# Answers end by chance within a longer time of each other.
-_TOGETHER_S = 0.02
+# Ends are counted within these times of each other, and for this long.
+_BURST_WINDOWS_S = (0.02, 0.1, 0.5, 1.5)
+ENDS_KEPT_S = 12.0
+# Of the ends of a process that lives on, few look like a burst by chance.
+_MAX_BURST_CHANCE = 0.01
+# Other nodes tell how long ago they saw something.
+_PEER_SAME_MOMENT_S = 0.2
 
 
 class EndVerdict(enum.Enum):
@@ -25,8 +30,38 @@
     PENDING = 'the process has not yet lived on for long enough'
     LOST = 'another connection of its process ended with it'
     UNCONFIRMED = 'answers of the process ended, and none has begun since'
-    COINCIDENT = 'another answer of the process ended in the same moment'
+    COINCIDENT = 'answers of the process end more often than before'
     WHOLE = 'the process has lived on'
+    LEAVING = (
+        'the process has lived on and begins nothing, as it has announced'
+    )
+    HEALTHY = 'the process has lived on, is healthy and is not leaving'
+    UNHEALTHY = 'answers of the process ended, and it is not healthy'
+    UNKNOWN = 'answers of the process ended, and its health is not known'
+
+    @property
+    def is_doubt(self) -> bool:
+        """Whether a health check can tell more."""
+        return self in (EndVerdict.UNCONFIRMED, EndVerdict.COINCIDENT)
+
+    @property
+    def may_be_told(self) -> bool:
+        """Whether the end counts if no other server contradicts it."""
+        return self not in (
+            EndVerdict.PENDING,
+            EndVerdict.LOST,
+            EndVerdict.UNHEALTHY,
+            EndVerdict.UNKNOWN,
+        )
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether no other server needs to be asked."""
+        return self in (
+            EndVerdict.WHOLE,
+            EndVerdict.LEAVING,
+            EndVerdict.HEALTHY,
+        )
 
 
 class AnswerEnd(typing.NamedTuple):
@@ -77,6 +112,8 @@
         When the latest request was sent whose answer has begun.
     cut_at_s : sequence of float
         When connections cut other answers off before their end.
+    peers_lost_at_s : sequence of float
+        When other nodes last lost a connection that was in use for reports.
     """
 
     lived_at_s: float
@@ -84,6 +121,16 @@
     ended_at_s: typing.Sequence[float] = ()
     begun_at_s: float = -math.inf
     cut_at_s: typing.Sequence[float] = ()
+    peers_lost_at_s: typing.Sequence[float] = ()
+
+    def merge(self, peer: 'ProcessSigns') -> 'ProcessSigns':
+        """Return these signs with those that another node has seen."""
+        return self._replace(
+            ended_at_s=[*self.ended_at_s, *peer.ended_at_s],
+            begun_at_s=max(self.begun_at_s, peer.begun_at_s),
+            cut_at_s=[*self.cut_at_s, *peer.cut_at_s],
+            peers_lost_at_s=[*self.peers_lost_at_s, peer.lost_at_s],
+        )
 
 
 def judge(end: AnswerEnd, signs: ProcessSigns) -> EndVerdict:
@@ -109,6 +156,11 @@
         abs(end.ended_at_s - at_s) <= _SAME_MOMENT_S for at_s in signs.cut_at_s
     ):
         return EndVerdict.LOST
+    if any(
+        abs(end.ended_at_s - at_s) <= _PEER_SAME_MOMENT_S
+        for at_s in signs.peers_lost_at_s
+    ):
+        return EndVerdict.LOST
     if signs.lived_at_s < end.ended_at_s + end.confirm_s:
         return EndVerdict.PENDING
     ended_ago_s = [end.ended_at_s - at_s for at_s in signs.ended_at_s]
@@ -117,6 +169,42 @@
         ago_s <= _MAX_CONFIRM_S for ago_s in ended_ago_s
     ):
         return EndVerdict.UNCONFIRMED
-    if any(abs(ago_s) <= _TOGETHER_S for ago_s in ended_ago_s):
+    if is_burst(ended_ago_s):
         return EndVerdict.COINCIDENT
     return EndVerdict.WHOLE
+
+
+def is_burst(ended_ago_s: typing.Sequence[float]) -> bool:
+    """Whether answers ended so close to one that it is hardly by chance.
+
+    Answers of a process that lives on end independently of each other, as
+    often as before; a process that ends ends them all.
+
+    Parameters
+    ----------
+    ended_ago_s : sequence of float
+        Seconds from the ends of other answers to this one.
+
+    Examples
+    --------
+    >>> is_burst([0.001]), is_burst([0.7]), is_burst([0.7, -0.3, 0.1, 0.4])
+    (True, False, True)
+    """
+    ended_ago_s = [ago_s for ago_s in ended_ago_s if ago_s <= ENDS_KEPT_S]
+    for window_s in _BURST_WINDOWS_S:
+        near = sum(abs(ago_s) <= window_s for ago_s in ended_ago_s)
+        earlier = sum(ago_s > window_s for ago_s in ended_ago_s)
+        # One more end, as none may have been seen yet.
+        per_s = (earlier + 1) / ENDS_KEPT_S
+        if _poisson_tail(near, 2 * window_s * per_s) <= _MAX_BURST_CHANCE:
+            return True
+    return False
+
+
+def _poisson_tail(count: int, mean: float) -> float:
+    """Return the probability of at least so many events."""
+    term, below = math.exp(-mean), 0.0
+    for number in range(count):
+        below += term
+        term *= mean / (number + 1)
+    return 1.0 - below
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -36,6 +36,12 @@
             ['verdict'],
             registry=self.registry,
         )
+        self.health_checks = prometheus_client.Counter(
+            'foxtailrelay_health_checks',
+            'Health checks of servers whose answers are in doubt.',
+            ['result'],
+            registry=self.registry,
+        )
         self.placements = prometheus_client.Counter(
             'foxtailrelay_placements',
             'Decisions where to send a request, by who decided.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -119,7 +119,12 @@
         servers = server_dialer.ServerDialer(self._links, self._peers.tunnels)
         self._pool = backend_pool.BackendPool(servers, clock.boot_s)
         self._prover = instance_prover.InstanceProver(
-            servers, ports.report_format, self._metrics, clock, memory
+            servers,
+            ports.report_format,
+            self._metrics,
+            clock,
+            memory,
+            self._peers.signs,
         )
         self._relay = request_relay.RequestRelay(
             self._view.state,
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
+from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay import demand_meter
@@ -22,6 +23,7 @@
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import answer_durations
@@ -203,6 +205,9 @@
         self.origins = stream_origins.StreamOrigins(
             self.servers, self.table, links, self.clock
         )
+        self.signs = peer_signs.PeerSigns(
+            process_signs.ProcessSignsTable(), self.table, links, self.clock
+        )
         self.links = server_links.ServerLinks(
             self.dialer, self.servers, self.clock
         )
@@ -232,6 +237,7 @@
             metrics,
             self.clock,
             self.memory,
+            self.signs,
         )
         nursery.start_soon(self.prover.run)
         nursery.start_soon(self.prover.workers.run)
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -45,6 +45,7 @@
         rig.dispatcher,
         rig.origins,
         rig.tunnel_server,
+        rig.signs,
         rig.memory,
     ).serve_connection
 
@@ -270,6 +271,7 @@
         rig.dispatcher,
         rig.origins,
         rig.tunnel_server,
+        rig.signs,
         rig.memory,
     ).serve_connection
     await testing.wait_all_tasks_blocked()
--- a/tests/cover/relay/test_malformed_input.py
+++ b/tests/cover/relay/test_malformed_input.py
@@ -4,11 +4,13 @@
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
+from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.duties import duty_log
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import node_registry
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.state import topic_store
 from foxtailrelay_node.internal.relay import supervision
 from foxtailrelay_platform import configuration_format
@@ -125,6 +127,9 @@
             rig_dispatcher,
             _NoOrigins(),
             None,
+            peer_signs.PeerSigns(
+                process_signs.ProcessSignsTable(), None, None, clock
+            ),
             memory_budget.MemoryBudget(1 << 26),
         )
 
--- a/tests/cover/relay/test_partitions.py
+++ b/tests/cover/relay/test_partitions.py
@@ -127,6 +127,7 @@
             rig.dispatcher,
             rig.origins,
             tunnel_server.TunnelServer(links, rig.servers),
+            rig.signs,
             rig.memory,
         )
         self._table = rig.table
--- a/tests/cover/relay/test_peer_memory.py
+++ b/tests/cover/relay/test_peer_memory.py
@@ -32,6 +32,7 @@
         rig.dispatcher,
         rig.origins,
         rig.tunnel_server,
+        rig.signs,
         rig.memory,
     )
 
@@ -155,6 +156,7 @@
             rig.dispatcher,
             rig.origins,
             rig.tunnel_server,
+            rig.signs,
             memory_budget.MemoryBudget.from_memory_limit(300 << 20),
         )
         records = tuple(
--- a/tests/cover/relay/test_request_guarantees.py
+++ b/tests/cover/relay/test_request_guarantees.py
@@ -281,6 +281,24 @@
     assert not requests
 
 
+@relay_rig.with_rig
+async def test_request_that_may_have_run_is_not_refused_for_its_key(rig):
+    """Guards against a promise that a request has not run after it has."""
+
+    async def revoke_and_end(stream):
+        await stream.receive_some(65536)
+        rig.confirm_configuration(
+            relay_rig.encode_configuration(version=9, tenants=[])
+        )
+        await stream.aclose()
+
+    rig.add_server('plain', 1, revoke_and_end)
+    rig.add_server('plain', 2, revoke_and_end)
+    caller = rig.connect()
+    await caller.send('/any/x')
+    assert relay_rig.status_code(await caller.receive()) == 502
+
+
 @relay_rig.with_rig
 async def test_server_that_drains_while_connecting_gets_no_request(rig):
     requests = []
--- /dev/null
+++ b/tests/cover/relay/test_shared_signs.py
@@ -0,0 +1,168 @@
+"""What other nodes and health checks show of the end of an answer."""
+
+from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import process_signs
+from foxtailrelay_node.internal.relay.dispatch import dispatch_client
+from foxtailrelay_node.internal.relay.peers import address_book
+from foxtailrelay_node.internal.relay.peers import exchange_server
+from foxtailrelay_node.internal.relay.policy import answer_end
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import trio
+
+from common import answer_reader
+from common import relay_rig
+
+_KEY = ('s1', 1)
+_PROMPT = ('Token-Counts: 100,20', 'Prompt-Prefix: aa:60,bb:40')
+_END = answer_end.AnswerEnd(open_at_s=9.9, ended_at_s=10.0, deadline_s=70.0)
+_LIVED = answer_end.ProcessSigns(12.0, 0.0, begun_at_s=10.5)
+_PEER = answer_end.ProcessSigns(0.0, 0.0)
+_Verdict = answer_end.EndVerdict
+
+
+@pytest.mark.parametrize(
+    ('peer', 'verdict'),
+    [
+        (_PEER, _Verdict.WHOLE),
+        (_PEER._replace(ended_at_s=[10.01]), _Verdict.COINCIDENT),
+        (_PEER._replace(ended_at_s=[9.7, 10.2, 10.4]), _Verdict.COINCIDENT),
+        (_PEER._replace(cut_at_s=[10.05]), _Verdict.LOST),
+        (_PEER._replace(lost_at_s=10.15), _Verdict.LOST),
+        (_PEER._replace(lost_at_s=11.0), _Verdict.WHOLE),
+    ],
+)
+def test_signs_of_other_nodes_count(peer, verdict):
+    """Guards against ends that are no coincidence over all nodes."""
+    assert answer_end.judge(_END, _LIVED.merge(peer)) is verdict
+
+
+@given(per_s=st.floats(0.1, 20.0), seed=st.integers(0, 1000))
+def test_ends_at_a_steady_rate_are_no_burst(per_s, seed):
+    """Guards against sound answers that count as cut on busy servers."""
+    offset_s = (seed % 97 + 1) / 98 / per_s
+    count = int(per_s * answer_end.ENDS_KEPT_S)
+    ends = [offset_s + number / per_s for number in range(count)]
+    ends += [offset_s - number / per_s for number in range(1, 1 + int(per_s))]
+    assert not answer_end.is_burst([e for e in ends if abs(e) > 0.02])
+
+
+@given(
+    count=st.integers(6, 40),
+    lasts_s=st.floats(0.001, 2.9),
+    position=st.floats(0.0, 1.0),
+)
+def test_connections_that_close_in_turn_are_a_burst(count, lasts_s, position):
+    """Guards against a process that closes its connections slowly."""
+    at_s = position * lasts_s
+    ends = [at_s - lasts_s * n / (count - 1) for n in range(count)]
+    nearest = min(ends, key=abs)
+    ends.remove(nearest)
+    assert answer_end.is_burst([e for e in ends if e >= -1.5])
+
+
+def test_signs_keep_their_times_on_the_way_to_another_node():
+    table = process_signs.ProcessSignsTable()
+    table.record_end(_KEY, 1, 98.0)
+    table.record_end(_KEY, 2, 80.0)
+    table.record_cut(_KEY, 99.5)
+    table.record_lost(_KEY, 99.0)
+    sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
+    signs = process_signs.from_peer(sent, 50.0)
+    assert signs.ended_at_s == [48.0]
+    assert list(signs.cut_at_s) == [49.5]
+    assert signs.lost_at_s == 49.0
+    assert signs.begun_at_s < 0
+
+
+@relay_rig.with_rig
+async def test_node_tells_its_signs_over_a_connection(rig):
+    server = exchange_server.ExchangeServer(
+        None, 60.0, rig.clock, rig.dispatcher, rig.origins,
+        rig.tunnel_server, rig.signs, rig.memory,
+    )  # fmt: skip
+    rig.dialer.backend_by_host['10.9.0.2'] = server.serve_connection
+    rig.prover.signs.record_end(_KEY, 1, rig.clock.boot_s())
+    client = dispatch_client.DispatchClient(rig.dialer)
+    rig.nursery.start_soon(client.run)
+    await trio.sleep(0.5)
+    answer = await client.request(
+        address_book.PeerAddress('10.9.0.2', 80),
+        messages.ProcessQuery(*_KEY),
+        1.0,
+    )
+    assert answer == messages.ProcessFound((500,))
+
+
+def _close_together(gate, health):
+    """Return a backend whose streams end together, and its health."""
+
+    async def serve(stream):
+        request = await relay_rig.read_request(stream)
+        if request.startswith(b'GET /health '):
+            await stream.send_all(health)
+        elif request:
+            request_id = request.lower().partition(b'request-id: ')[2].split()
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n'
+                b'Content-Type: text/event-stream\r\n\r\n'
+                % request_id[0]
+                + relay_rig.encode_event(1)
+            )
+            await gate.wait()
+        await stream.aclose()
+
+    return serve
+
+
+_HEALTHY = b'HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nContent-Length: 0\r\n\r\n'
+_LEAVING = _HEALTHY.replace(b'200 OK', b'503 Ending')
+_FULL = _LEAVING.replace(b'Instance', b'Not-Executed: 1\r\nInstance')
+_FOREIGN = _HEALTHY.replace(b's1', b's2')
+
+
+@pytest.mark.parametrize('path', ['/stream/x', '/resume/x', '/once/x'])
+@pytest.mark.parametrize(
+    ('health', 'is_whole'),
+    [(_HEALTHY, True), (_LEAVING, False), (_FULL, False), (_FOREIGN, False)],
+    ids=['healthy', 'leaving', 'full', 'foreign'],
+)
+def test_answers_that_end_together_are_whole_if_their_process_is_healthy(
+    path, health, is_whole
+):
+    """Guards against a process that ends its answers and reports on."""
+
+    async def play(rig):
+        fields = relay_rig.decoded_configuration()
+        for service in fields['services']:
+            service['health-path'] = '/health'
+        rig.confirm_configuration(
+            relay_rig.encode_configuration(
+                version=8, services=fields['services']
+            )
+        )
+        gate = trio.Event()
+        service = 'plain' if path == '/once/x' else 'model'
+        rig.add_server(service, 1, _close_together(gate, health))
+        answers = []
+
+        async def call(name):
+            caller = rig.connect()
+            await caller.send(
+                path, *_PROMPT, 'Connection: close', request_id=name
+            )
+            answers.extend(
+                answer_reader.read_answers(await caller.receive_all())
+            )
+
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(call, f'r{number}')
+            await trio.sleep(0.5)
+            gate.set()
+        assert [a.status == 200 and a.is_whole for a in answers] == (
+            [is_whole] * 3
+        )
+
+    relay_rig.with_rig(play)()
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -6,10 +6,11 @@
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal.relay import answer_head
-from foxtailrelay_node.internal.relay.attempts import attempt_runner
 from foxtailrelay_node.internal.relay.attempts import crash_evidence
 from foxtailrelay_node.internal.relay.attempts import http_exchange
 from foxtailrelay_node.internal.relay.attempts import progress
+from foxtailrelay_node.internal.relay.attempts import request_checks
+from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
@@ -210,7 +211,7 @@
         checks.test_no_key_is_accepted_while_configuration_is_stale,
     ),
     'API keys are not checked again before sending': (
-        _set(attempt_runner.AttemptRunner, '_recheck_key', _always(None)),
+        _set(request_checks.RequestChecks, 'recheck_key', _always(None)),
         checks.test_key_revoked_while_connecting_fails_the_request,
     ),
     'servers are not checked again before sending': (
@@ -264,7 +265,7 @@
         notices.test_an_engine_in_its_quiet_period_is_not_dispatched_to,
     ),
     'a request for a pause counts as a failure': (
-        _set(attempt_runner, '_is_blameless', _always(False)),
+        _set(results, 'is_blameless', _always(False)),
         notices.test_a_request_for_a_pause_is_no_failure_of_the_server,
     ),
     'the era of the store is ignored': (
