Keep peers usable after servers have ended together

Callers of a node that reaches servers through peers only lost all their streams when four of seven servers ended at once: none of 60 streams that may be resumed went on ("neither this node nor a peer reaches any server").

Cause: a peer that was asked about an ended server recorded each refusal as a failure of its own links. Two such servers made it report itself as cut off and decline all tunnels. Its control connections went to the first three other servers of the list, which had ended as well.

Change: a refusal counts as a failure of the links only if no other server accepts a connection. Control connections go to at most eight servers, in random order, those that were not refused before first.

Test: test_peer_serves_on_after_servers_have_ended_together failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/server_links.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/server_links.py
@@ -1,6 +1,7 @@
 """Direct connections to backend servers, and what they show of the links."""
 
 import collections
+import random
 import typing
 
 import logbook
@@ -16,7 +17,9 @@
 _CONNECT_TIMEOUT_S = 0.5
 _PROBE_TIMEOUT_S = 0.25
 _PROBE_INTERVAL_S = 0.5
-_MAX_CONTROL_SERVERS = 3
+_CONTROL_TIMEOUT_S = 3 * _PROBE_TIMEOUT_S
+# More than the servers that usually end at the same moment.
+_MAX_CONTROL_SERVERS = 8
 _MAX_ENDED = 1000
 
 
@@ -97,9 +100,14 @@
             if (server.host, server.port) != (excluded.host, excluded.port)
             and not self.has_ended(server)
         ]
-        for server in others[:_MAX_CONTROL_SERVERS]:
-            if await self._probe(server):
-                return True
+        # Servers that fail together may be next to each other in the list.
+        others.sort(
+            key=lambda server: (self.is_failed(server), random.random())
+        )
+        with trio.move_on_after(_CONTROL_TIMEOUT_S):
+            for server in others[:_MAX_CONTROL_SERVERS]:
+                if await self._probe(server):
+                    return True
         return False if others else None
 
     def has_ended(self, server: backend_server.BackendServer) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_server.py
@@ -59,7 +59,6 @@
             return messages.TunnelAnswer(_State.DECLINED, declined), None
         stream = await self._links.connect(server, _CONNECT_TIMEOUT_S)
         if isinstance(stream, server_links.DirectFailure):
-            self._links.record_failure(server, is_reached_by_peer=False)
             return await self._judge_failure(server, stream, request), None
         if request.is_check:
             await trio.aclose_forcefully(stream)
@@ -107,11 +106,21 @@
         request: messages.TunnelOpen,
     ) -> messages.TunnelAnswer:
         """Distinguish failures of the server and of the links."""
-        if request.is_check and failure.is_refused:
-            if await self._links.can_reach_another(server) is False:
-                return messages.TunnelAnswer(_State.DECLINED, failure.reason)
+        is_another_reached = (
+            await self._links.can_reach_another(server)
+            if failure.is_refused
+            else None
+        )
+        # Servers that end together do not show that the links are cut.
+        if not is_another_reached:
+            self._links.record_failure(server, is_reached_by_peer=False)
+        if (
+            request.is_check
+            and failure.is_refused
+            and is_another_reached is not False
+        ):
             return messages.TunnelAnswer(_State.ENDED, failure.reason)
-        if self._links.is_path_suspect():
+        if is_another_reached is False or self._links.is_path_suspect():
             return messages.TunnelAnswer(_State.DECLINED, failure.reason)
         return messages.TunnelAnswer(_State.UNREACHABLE, failure.reason)
 
--- a/tests/cover/relay/test_partitions.py
+++ b/tests/cover/relay/test_partitions.py
@@ -274,6 +274,24 @@
         assert check is server_end_checker.ServerCheck.UNKNOWN
 
 
+@relay_rig.with_rig
+async def test_peer_serves_on_after_servers_have_ended_together(rig):
+    """Guards against ended servers that look like a cut of the peer."""
+    for index in range(1, 7):
+        backend = relay_rig.scripted_backend(relay_rig.success_response())
+        rig.add_server('plain', index, backend)
+    peer = _Peer(rig)
+    *ended, first, second = rig.servers.usable('plain')
+    peer.dialer.backend_by_host = {
+        server.host: peer.dialer.backend_by_host[server.host]
+        for server in (first, second)
+    }
+    for server in ended:
+        check = await rig.end_checker.check(server, 'reset')
+        assert check is server_end_checker.ServerCheck.ENDED
+    assert relay_rig.status_code(await _send(rig)) == 200
+
+
 @relay_rig.with_rig
 async def test_isolated_node_refuses_at_once_as_not_run(rig):
     for index in range(1, 9):
