Send nodes that start again the origins that they hold

Callers that took a stream up after nodes had been killed in turn, faster than streams end, were refused (stream-origin-unknown): each holder had lost its origins by starting again, and the node that relayed the stream too.

Cause: origins were sent once, when a stream began.

An origin is kept no longer for being sent on, and does not replace one that is kept longer.

Test: test_origin_outlives_restarts_of_all_nodes_in_turn (4 and 66 nodes, no network); without the change, as a mutant, it fails.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -16,6 +16,7 @@
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import node_registry
+from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -143,6 +144,9 @@
         self.origins = stream_origins.StreamOrigins(
             view.servers, self.gossip.peers, self._stream_client, clock
         )
+        self._origin_transfer = origin_transfer.OriginTransfer(
+            self.origins, self.gossip.peers, self._stream_client
+        )
         self.tunnels = tunnel_client.TunnelClient(
             settings.zone, self.gossip.peers, dialer, clock
         )
@@ -177,6 +181,7 @@
             nursery.start_soon(self._exchange_client.run)
             nursery.start_soon(self._dispatch_client.run)
             nursery.start_soon(self._stream_client.run)
+            nursery.start_soon(self._origin_transfer.run)
             nursery.start_soon(self._registry.run)
 
     def rank_followers(self, node_ids: list[str]) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -65,14 +65,19 @@
     def record(self, origin: messages.StreamOrigin) -> None:
         """Keep the origin of a stream here and at its holders."""
         self.store(origin)
-        for address in self._holders(origin.service)[:_HOLDER_COUNT]:
-            self._client.send_note(address, origin, may_connect=True)
+        for peer in self.holders(origin.service):
+            self._client.send_note(_address(peer), origin, may_connect=True)
 
     def store(self, origin: messages.StreamOrigin) -> None:
         """Keep an origin at this node only."""
         now_s = self._clock.boot_s()
+        until_s = now_s + origin.keep_ms / 1000
         key = (origin.service, origin.request_id, origin.fingerprint)
-        self._kept_by_key[key] = _Kept(origin, now_s + origin.keep_ms / 1000)
+        known = self._kept_by_key.get(key)
+        if known is not None and known.until_s > until_s:
+            # Sent on by a node that has missed the newer one.
+            return
+        self._kept_by_key[key] = _Kept(origin, until_s)
         self._kept_by_key.move_to_end(key)
         keys = self._keys_by_request.setdefault(
             (origin.service, origin.fingerprint), {}
@@ -89,6 +94,23 @@
             del self._kept_by_key[oldest_key]
             self._forget_request(oldest_key)
 
+    def services(self) -> set[str]:
+        """Return the services of the streams whose origins are kept."""
+        return {service for service, _ in self._keys_by_request}
+
+    def kept(self, service: str) -> list[messages.StreamOrigin]:
+        """Return the origins of a service's streams, the newest first."""
+        now_s = self._clock.boot_s()
+        return [
+            kept.origin._replace(keep_ms=int((kept.until_s - now_s) * 1000))
+            for key, kept in reversed(self._kept_by_key.items())
+            if key[0] == service and kept.until_s > now_s
+        ]
+
+    def holders(self, service: str) -> list[peer_table.PeerReport]:
+        """Return the peers that hold the origins of a service's streams."""
+        return self._rank(service)[:_HOLDER_COUNT]
+
     def handle_query(
         self, query: messages.StreamQuery
     ) -> messages.StreamFound:
@@ -141,7 +163,7 @@
         self, query: messages.StreamQuery
     ) -> list[messages.StreamFound]:
         answers: list[messages.StreamFound] = []
-        addresses = self._holders(query.service)
+        addresses = [_address(peer) for peer in self._rank(query.service)]
         # In a small cluster all peers are queried: the node that relayed the
         # stream may have lost only its caller.
         if not gossip_params.is_full_mesh(len(addresses)):
@@ -194,19 +216,19 @@
             return None
         return kept.origin
 
-    def _holders(self, service: str) -> list[address_book.PeerAddress]:
+    def _rank(self, service: str) -> list[peer_table.PeerReport]:
         """Return the live peers, those that hold origins first."""
-        peers = sorted(
+        return sorted(
             self._peers.live(),
             key=lambda peer: rendezvous_hash.weight(
                 f'{service}/streams', peer.copy.node_id
             ),
             reverse=True,
         )
-        return [
-            address_book.PeerAddress(peer.report.host, peer.report.peer_port)
-            for peer in peers
-        ]
+
+
+def _address(peer: peer_table.PeerReport) -> address_book.PeerAddress:
+    return address_book.PeerAddress(peer.report.host, peer.report.peer_port)
 
 
 def _find_sole(answers: typing.Sequence[messages.StreamFound]) -> str:
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -3,6 +3,7 @@
 import types
 
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import stream_origins
 import trio
 
@@ -39,6 +40,8 @@
         self.note_counts = [0] * node_count
         self.query_count = 0
         self.lists = [_ServerList() for _ in range(node_count)]
+        self.start_counts = [0] * node_count
+        self.transfers = {}
         self.nodes = [self._build(number) for number in range(node_count)]
 
     def fail(self, number):
@@ -56,15 +59,22 @@
         return await self.nodes[number].find(query)
 
     def _build(self, number):
-        return stream_origins.StreamOrigins(
-            self.lists[number], _Peers(self, number), _Client(self), self.clock
+        self.start_counts[number] += 1
+        peers, client = _Peers(self, number), _Client(self)
+        node = stream_origins.StreamOrigins(
+            self.lists[number], peers, client, self.clock
         )
+        self.transfers[number] = origin_transfer.OriginTransfer(
+            node, peers, client
+        )
+        return node
 
 
 class _Peers:
     """All other nodes, also those that have just failed."""
 
     def __init__(self, network, own_number):
+        self._starts = network.start_counts
         self._others = [
             types.SimpleNamespace(
                 copy=types.SimpleNamespace(node_id=f'n{number}'),
@@ -75,6 +85,10 @@
         ]
 
     def live(self):
+        for peer in self._others:
+            peer.start_id = (
+                f'{peer.report.host}/{self._starts[int(peer.report.host)]}'
+            )
         return self._others
 
 
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -375,6 +375,34 @@
     _run(main)
 
 
+@pytest.mark.parametrize('node_count', [4, 66])
+def test_origin_outlives_restarts_of_all_nodes_in_turn(node_count):
+    """Guards against origins that are lost as their holders restart."""
+
+    async def main():
+        network = origin_network.OriginNetwork(node_count)
+        for number in range(120):
+            origin = _ORIGIN._replace(request_id=f'r{number}')
+            network.nodes[0].record(origin)
+        for number in range(node_count):
+            network.restart(number)
+            for running in set(range(node_count)) - {number}:
+                await network.transfers[running].send_to_new_holders()
+        network.clock.now_s += 1
+        for number in range(120):
+            found = await network.find(number % node_count, f'r{number}')
+            assert found.origins
+        # An origin is kept no longer for having been sent on.
+        network.clock.now_s += _ORIGIN.keep_ms / 1000
+        assert not (await network.find(0, 'r1')).origins
+        counts = list(network.note_counts)
+        for transfer in network.transfers.values():
+            await transfer.send_to_new_holders()
+        assert network.note_counts == counts
+
+    _run(main)
+
+
 def test_node_that_has_just_started_asks_for_the_sole_version():
     """Guards against refusals where no second version was ever listed."""
 
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -33,6 +33,7 @@
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import answer_end
@@ -509,6 +510,14 @@
             7
         ),
     ),
+    'nodes that start again are not sent the origins that they held': (
+        _set(
+            origin_transfer.OriginTransfer,
+            'send_to_new_holders',
+            _always_async(None),
+        ),
+        lambda: versions.test_origin_outlives_restarts_of_all_nodes_in_turn(4),
+    ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
         versions.test_server_listed_while_another_is_chosen_is_not_used,
