Date ends of servers by the time for which a node stood still

Callers with equal requests were refused as crashing servers ("3 backend servers ended under requests with this prompt part") after a rollout of three servers within 0.05 s beside two frozen nodes.

Cause: nodes 1 and 2 dated the end of m2 at the time at which they woke, 0.45 s after node 3 had recorded m0 and m1. Ends more than 0.25 s apart are two moments, and three ends at two moments blame a request.

Change: an instrument of the event loop notices that the process did not run for 0.1 s longer than it waited for. An end that is noticed within 0.5 s after that may have been at any time since the process ran last; it is at another moment only if that is so for all these times. A sharper report of another node narrows them. Notes to the dispatcher and reports carry the uncertainty in new fields (PlaceNote.crashAgeMs @5, NodeReport.crashUnsure @37), which older releases ignore.

Tried and withdrawn: the last time at which the process ran as the time of the end, as the issue proposed.

--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -270,6 +270,9 @@
     running_ms : tuple of int
         For each part, milliseconds from sending the last request with it to
         the end of the server; empty if unknown.
+    unsure_ms : int
+        Milliseconds by which it may have ended earlier, since the node stood
+        still.
     """
 
     server: str
@@ -278,6 +281,7 @@
     age_ms: int
     suspect_ids: tuple[str, ...]
     running_ms: tuple[int, ...] = ()
+    unsure_ms: int = 0
 
 
 class QuarantinedSuspect(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -188,6 +188,9 @@
   brittleAges @35 :List(UInt32);
   # Rejections per second; infinite where the server no longer names a bound.
   brittleRates @36 :List(Float64);
+  # For each crash the milliseconds by which it may have been earlier, since the
+  # node stood still; empty from older releases.
+  crashUnsure @37 :List(UInt32);
 }
 
 struct TopicWant {
@@ -252,6 +255,7 @@
   firstUs @2 :UInt32;
   isCrash @3 :Bool;
   isRejected @4 :Bool;
+  crashAgeMs @5 :UInt32;
 }
 
 struct StreamOrigin {
--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -119,6 +119,8 @@
         Whether the server ended while it may have begun this answer.
     is_rejected : bool
         Whether the server had no room for the request.
+    crash_age_ms : int
+        Milliseconds since the server ended at the earliest.
     """
 
     booking: int
@@ -126,3 +128,4 @@
     first_us: int
     is_crash: bool = False
     is_rejected: bool = False
+    crash_age_ms: int = 0
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -25,6 +25,7 @@
     'crashNumbers',
     'crashParts',
     'crashRunning',
+    'crashUnsure',
 )
 _QUARANTINE_FIELDS = (
     'quarantineServices',
@@ -112,6 +113,9 @@
         ),
         'crashParts': _flatten(crash.suspect_ids for crash in crashes),
         'crashRunning': _flatten_uint32(crash.running_ms for crash in crashes),
+        'crashUnsure': _flatten_uint32(
+            (crash.unsure_ms,) for crash in crashes
+        ),
         'quarantineServices': [part.service for part in quarantined],
         'quarantineParts': [part.suspect_id for part in quarantined],
         'quarantineNumbers': _flatten_uint32(part[2:] for part in quarantined),
@@ -206,11 +210,12 @@
 def _to_crashes(columns: _Columns) -> tuple[message_types.Crash, ...]:
     if not columns.has_any(_CRASH_FIELDS):
         return ()
-    servers, starts, services, numbers, parts, running = columns.all(
+    servers, starts, services, numbers, parts, running, unsure = columns.all(
         _CRASH_FIELDS
     )
     next_parts = iter(parts)
     next_running_ms = iter(running)
+    next_unsure_ms = iter(unsure)
     return tuple(
         message_types.Crash(
             server,
@@ -219,6 +224,7 @@
             age_ms,
             tuple(itertools.islice(next_parts, count)),
             tuple(itertools.islice(next_running_ms, count)),
+            next(next_unsure_ms, 0),
         )
         for server, started_ms, service, (age_ms, count) in zip(
             servers,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
@@ -62,6 +62,7 @@
             self._record_answer(job, result)
             return Finding()
         at_s = self._context.now_s()
+        unsure_s = at_s - self._context.clock.happened_s()
         suspect_ids = self._find_suspects(job, progress)
 
         def record_end() -> None:
@@ -71,6 +72,7 @@
                 suspect_ids,
                 progress.attempt_sent_at_s,
                 at_s=at_s,
+                unsure_s=unsure_s,
             )
 
         check = await self._context.end_checker.check(server, reason)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -149,6 +149,7 @@
         sent_at_s: float = -math.inf,
         is_own: bool = True,
         at_s: float | None = None,
+        unsure_s: float = 0.0,
     ) -> None:
         """Record that a server ended under a request.
 
@@ -166,6 +167,8 @@
             Whether this node sent the request, and reports the crash.
         at_s : float or None
             When the server ended, in seconds since boot; None for now.
+        unsure_s : float
+            Time by which it may have ended earlier.
         """
         records = self._records(service)
         records.add_crash(
@@ -174,6 +177,7 @@
                 self._clock.boot_s() if at_s is None else at_s,
                 dict.fromkeys(_keys(suspect_ids), sent_at_s),
                 is_own,
+                unsure_s,
             ),
         )
         self._evaluate(service, records)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -30,11 +30,14 @@
         infinity if unknown.
     is_own : bool
         Whether requests of this node were at the server.
+    unsure_s : float
+        Time by which it may have ended earlier.
     """
 
     at_s: float
     sent_at_s_by_suspect: dict[str, float]
     is_own: bool
+    unsure_s: float = 0.0
 
     @classmethod
     def from_message(cls, crash: messages.Crash, made_at_s: float) -> 'Crash':
@@ -46,7 +49,7 @@
         ):
             if running_ms < UNKNOWN_MS:
                 sent_at_s_by_suspect[suspect_id] = at_s - running_ms / 1000
-        return cls(at_s, sent_at_s_by_suspect, False)
+        return cls(at_s, sent_at_s_by_suspect, False, crash.unsure_ms / 1000)
 
 
 class Release(typing.NamedTuple):
@@ -106,10 +109,15 @@
             if known_s is None or sent_at_s > known_s + _ROUNDING_S:
                 sent_at_s_by_suspect[suspect_id] = sent_at_s
                 is_changed = True
+        at_s = min(known.at_s, crash.at_s)
+        earliest_s = max(
+            known.at_s - known.unsure_s, crash.at_s - crash.unsure_s
+        )
         self.crash_by_instance[key] = Crash(
-            min(known.at_s, crash.at_s),
+            at_s,
             sent_at_s_by_suspect,
             known.is_own or crash.is_own,
+            max(0.0, at_s - earliest_s),
         )
         return is_changed
 
@@ -165,7 +173,9 @@
         answers_by_suspect = {s: a for s, a in found if a is not None}
         return crash_attribution.find_crash_causes(
             (
-                crash_attribution.Crash(crash.at_s, crash.sent_at_s_by_suspect)
+                crash_attribution.Crash(
+                    crash.at_s, crash.sent_at_s_by_suspect, crash.unsure_s
+                )
                 for crash in crashes
             ),
             {s: answers.at_s for s, answers in answers_by_suspect.items()},
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_report.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_report.py
@@ -21,7 +21,7 @@
 ) -> tuple[messages.Crash, ...]:
     """Return recent crashes under this node's requests, newest first."""
     recent = [
-        (crash.at_s, service, key, crash.sent_at_s_by_suspect)
+        (crash.at_s, service, key, crash)
         for service, records in records_by_service.items()
         for key, crash in records.crash_by_instance.items()
         if crash.is_own
@@ -31,7 +31,8 @@
     recent.sort(key=lambda row: row[:3], reverse=True)
     crashes = []
     suspect_count = 0
-    for at_s, service, key, sent_at_s_by_suspect in recent:
+    for at_s, service, key, crash in recent:
+        sent_at_s_by_suspect = crash.sent_at_s_by_suspect
         suspect_count += len(sent_at_s_by_suspect)
         if suspect_count > _MAX_CRASH_SUSPECTS:
             break
@@ -45,6 +46,7 @@
                     _to_ms(at_s - sent_at_s)
                     for sent_at_s in sent_at_s_by_suspect.values()
                 ),
+                _to_ms(crash.unsure_s),
             )
         )
     return tuple(crashes)
--- a/packages/node/src/foxtailrelay_node/internal/relay/clock.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/clock.py
@@ -1,6 +1,7 @@
 """Clocks for timeouts and for the time of day."""
 
 import abc
+import math
 import pathlib
 import time
 
@@ -9,11 +10,35 @@
 _LOG = logbook.Logger('foxtailrelay.node')
 # Interval of reading the file with the offset.
 _READ_INTERVAL_S = 0.2
+# Time in which a process that goes on handles what has happened before, with
+# a check of a server.
+_CATCH_UP_S = 0.5
 
 
 class Clock(abc.ABC):
     """A boot-time clock for ages and deadlines, and the wall clock."""
 
+    _stalled_from_s = -math.inf
+    _stalled_until_s = -math.inf
+
+    def record_stall(self, from_s: float) -> None:
+        """Record that this process has not run since a time."""
+        now_s = self.boot_s()
+        if now_s - self._stalled_until_s > _CATCH_UP_S:
+            self._stalled_from_s = from_s
+        self._stalled_until_s = now_s
+
+    def happened_s(self) -> float:
+        """Return when that which is noticed now happened at the earliest.
+
+        That is the last time at which this process ran before, if it has
+        only just gone on; in seconds since boot.
+        """
+        now_s = self.boot_s()
+        if now_s - self._stalled_until_s > _CATCH_UP_S:
+            return now_s
+        return self._stalled_from_s
+
     @abc.abstractmethod
     def boot_s(self) -> float:
         """Return seconds since boot, including time while suspended."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -206,6 +206,9 @@
                 reservation.suspect_ids,
                 reservation.reserved_at_s,
                 is_own=False,
+                unsure_s=self._clock.boot_s()
+                - self._clock.happened_s()
+                + note.crash_age_ms / 1000,
             )
         elif note.event is messages.PlaceEvent.DONE:
             self._quarantine.record_answer(service, reservation.suspect_ids)
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_reservations.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_reservations.py
@@ -2,6 +2,7 @@
 
 from foxtailrelay_core import messages
 
+from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.peers import address_book
@@ -41,10 +42,12 @@
         client: dispatch_client.DispatchClient,
         address: address_book.PeerAddress,
         reservation_id: int,
+        clock: clocks.Clock,
     ) -> None:
         self._client = client
         self._address = address
         self._id = reservation_id
+        self._clock = clock
         self._has_ended = False
 
     def record_first_event(self, first_s: float) -> None:
@@ -60,8 +63,9 @@
     ) -> None:
         if not self._has_ended:
             self._has_ended = True
+            age_s = self._clock.boot_s() - self._clock.happened_s()
             note = messages.PlaceNote(
-                self._id, event, 0, is_crash, is_rejected
+                self._id, event, 0, is_crash, is_rejected, int(age_s * 1000)
             )
             self._client.send_note(self._address, note)
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -238,7 +238,7 @@
             peer.report.host, peer.report.peer_port
         )
         reservation = dispatcher_reservations.PeerReservation(
-            self._client, address, call.booking
+            self._client, address, call.booking, self._clock
         )
         sent_at_s = self._clock.boot_s()
         try:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -52,10 +52,19 @@
         The requests that it had not answered, the shared parts of prompts
         that it may just have begun to answer, and when the last request with
         each was sent; minus infinity if unknown.
+    unsure_s : float
+        Time by which it may have ended earlier, since the node that noticed
+        it stood still.
     """
 
     at_s: float
     sent_at_s_by_suspect: typing.Mapping[str, float]
+    unsure_s: float = 0.0
+
+    @property
+    def earliest_s(self) -> float:
+        """When it ended at the earliest."""
+        return self.at_s - self.unsure_s
 
     @property
     def suspect_ids(self) -> typing.AbstractSet[str]:
@@ -212,7 +221,7 @@
     return (
         len(crashes) >= threshold.crashes
         and _count_moments(suspect_id, crashes) >= threshold.moments
-        and crashes[-1].at_s - crashes[0].at_s > threshold.min_spread_s
+        and crashes[-1].earliest_s - crashes[0].at_s > threshold.min_spread_s
     )
 
 
@@ -221,7 +230,7 @@
     count, moment_s = 0, -math.inf
     for crash in crashes:
         if (
-            crash.at_s - moment_s > _MOMENT_S
+            crash.earliest_s - moment_s > _MOMENT_S
             or crash.sent_at_s_by_suspect[suspect_id] > moment_s
         ):
             count, moment_s = count + 1, crash.at_s
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -30,6 +30,7 @@
 from foxtailrelay_node.internal.relay import request_relay
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay import settings_watcher
+from foxtailrelay_node.internal.relay import stall_meter
 from foxtailrelay_node.internal.relay.state import spend_record
 from foxtailrelay_node.internal.relay import status_handler
 from foxtailrelay_node.internal.relay import supervision
@@ -180,6 +181,7 @@
                 'seeds': len(settings.seeds),
             },
         )
+        trio.lowlevel.add_instrument(stall_meter.StallMeter(self._clock))
         async with trio.open_nursery() as nursery:
             await nursery.start(self._watch_signals)
             for name, run in (
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -20,6 +20,7 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay.catalogue import route
+from foxtailrelay_node.internal.relay import clock
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
@@ -72,6 +73,7 @@
 from cover.relay import test_server_limits as limits
 from cover.relay import test_server_list as lists
 from cover.relay import test_server_notices as notices
+from cover.relay import test_stalls as stalls
 from cover.relay import test_stream_guarantees as streams
 from cover.relay import test_stream_versions as versions
 from cover.relay import test_usage_reporter as reporters
@@ -518,6 +520,10 @@
         ),
         lambda: versions.test_origin_outlives_restarts_of_all_nodes_in_turn(4),
     ),
+    'servers that ended while a node stood still ended when it woke': (
+        _set(clock.Clock, 'happened_s', lambda self: self.boot_s()),
+        stalls.test_servers_that_end_together_blame_nothing_after_a_stall,
+    ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
         versions.test_server_listed_while_another_is_chosen_is_not_used,
