Date the end of a server when the connection of its answer ended

Equal requests were quarantined after servers had ended together, also where no node stood still: in a rollout of three servers within 0.05 s node 3 recorded m0 and m2 at once, and m1, whose answers have no length, 0.25 s later.

Cause: an end that is in doubt was dated when the doubt was settled.

Change: it is dated when the connection ended.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -318,6 +318,7 @@
         if not self._backend.is_close_delimited:
             return answer_end.EndVerdict.WHOLE
         self._record_server_end()
+        self._progress.connection_ended_at_s = self._context.now_s()
         return await end_prover.EndProver(
             self._context,
             self._placed.view.server,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/crash_evidence.py
@@ -62,7 +62,10 @@
             self._record_answer(job, result)
             return Finding()
         at_s = self._context.now_s()
-        unsure_s = at_s - self._context.clock.happened_s()
+        if progress.connection_ended_at_s >= progress.attempt_sent_at_s:
+            # Its end has been in doubt since then.
+            at_s = progress.connection_ended_at_s
+        unsure_s = max(0.0, at_s - self._context.clock.happened_s())
         suspect_ids = self._find_suspects(job, progress)
 
         def record_end() -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -64,6 +64,9 @@
         since boot.
     last_part_at_s : float or None
         When the last part of a stream was received, in seconds since boot.
+    connection_ended_at_s : float
+        When the connection of the last answer without a length ended, in
+        seconds since boot.
     answer_number : int
         Number of the current attempt's answer among those of its server.
     unconfirmed_end : CancelScope or None
@@ -105,6 +108,7 @@
     long_bytes: int = 0
     answer_lease: memory_lease.MemoryLease | None = None
     last_part_at_s: float | None = None
+    connection_ended_at_s: float = -math.inf
 
     @property
     def forwarded_event_id(self) -> int | None:
--- a/tests/cover/relay/test_doubted_ends.py
+++ b/tests/cover/relay/test_doubted_ends.py
@@ -61,6 +61,29 @@
     play()
 
 
+@relay_rig.with_rig
+async def test_server_has_ended_when_its_answer_was_cut(rig):
+    """Guards against servers that end together at two moments."""
+    closed_at_s = []
+
+    async def serve(stream):
+        await relay_rig.read_request(stream)
+        await stream.send_all(_HEAD + relay_rig.encode_event(1))
+        await stream.aclose()
+        closed_at_s.append(rig.clock.boot_s())
+        await trio.sleep(0.6)
+        rig.dialer.backend_by_host.clear()
+
+    rig.add_server('model', 1, serve)
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    await caller.receive_all()
+    (crash,) = rig.quarantine.build_crashes()
+    assert rig.clock.boot_s() - closed_at_s[0] >= 0.6
+    age_s = crash.age_ms / 1000
+    assert rig.clock.boot_s() - age_s - closed_at_s[0] < 0.1
+
+
 @relay_rig.with_rig
 async def test_end_at_the_time_of_a_planned_stop_is_not_believed(rig):
     """Guards against servers that stop at the deadline they were given."""
