Free the places of nodes whose process has ended

Streams that could go on were refused after a node had been killed: their server was taken for full by the places of requests that the killed node had under way (m3 with 8 slots counted 11, three or four of them its).

Cause: a reservation ended by its node's note, or after 4 s and 0.03 s for each token of its answer.

Change: calls to the dispatcher name their sender and its start in new fields (PlaceCall.nodeId @14, incarnation @15), which older releases ignore. Its reservations end once it has started again, or has closed its connection and no longer reports to any node (after 2 s in a full mesh). A node that is frozen or slow keeps its connection; one that is cut off from the dispatcher only, or leaving, is reported. Calls of older releases are kept as before, and so are those of a node that is killed after its connection was closed as idle (4 s), until its next start.

Test: test_reservations_of_a_node_end_with_its_process; two mutants.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -231,6 +231,8 @@
   booking @11 :UInt64;
   promptTokens @12 :UInt32;
   fingerprint @13 :Text;
+  nodeId @14 :Text;
+  incarnation @15 :UInt64;
 }
 
 struct PlaceAnswer {
--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -31,6 +31,10 @@
     fingerprint : str
         Equal for requests that differ only in their ids; empty from older
         releases.
+    node_id : str
+        The sender; empty from older releases.
+    incarnation : int
+        The sender's start.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     excluded: tuple[str, ...]
     booking: int
     fingerprint: str = ''
+    node_id: str = ''
+    incarnation: int = 0
 
 
 class PlaceAnswer(typing.NamedTuple):
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import limit_allowances
 from foxtailrelay_node.internal.relay import node_state
+from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.policy import brittle_admission
 from foxtailrelay_node.internal.relay.policy import demand as demands
 from foxtailrelay_node.internal.relay.policy import model_placer
@@ -59,6 +60,7 @@
     reserved_at_s: float
     suspect_ids: tuple[str, ...]
     admission: brittle_admission.Admission | None
+    sender: tuple[str, int]
 
 
 class _Overload(typing.NamedTuple):
@@ -116,9 +118,11 @@
         self._admission = brittle_admission.BrittleAdmission()
         self._since_s_by_service: dict[str, float] = {}
         self._last_call_s_by_service: dict[str, float] = {}
+        self._disconnected: set[tuple[str, int]] = set()
 
     def handle_call(self, call: messages.PlaceCall) -> messages.PlaceAnswer:
         """Choose a server for a request and add a reservation there."""
+        self._disconnected.discard((call.node_id, call.incarnation))
         parts = tuple(
             caller_request.PromptPart(name, tokens)
             for name, tokens in zip(
@@ -217,6 +221,46 @@
         elif note.event is messages.PlaceEvent.FAILED:
             self._loads.record_failure(reservation.server)
 
+    def record_disconnect(self, node_id: str, incarnation: int) -> None:
+        """Record that a node has closed, or lost, its connection."""
+        self._disconnected.add((node_id, incarnation))
+
+    def release_ended(self, peers: peer_table.PeerTable) -> None:
+        """Remove the reservations of nodes whose process has ended.
+
+        A node that is slow or frozen keeps its connection open, and one that
+        is cut off from this node only is reported by others: their requests
+        go on at the servers.
+        """
+        senders = {r.sender for r in self._reservation_by_id.values()}
+        self._disconnected &= senders
+        ended = {
+            (node_id, incarnation)
+            for node_id, incarnation in senders
+            if peers.is_replaced(node_id, incarnation)
+            or (
+                (node_id, incarnation) in self._disconnected
+                and node_id
+                and not peers.is_reporting(node_id)
+            )
+        }
+        released = [
+            (reservation_id, reservation)
+            for reservation_id, reservation in self._reservation_by_id.items()
+            if reservation.sender in ended
+        ]
+        for reservation_id, reservation in released:
+            self._remove(reservation_id, reservation)
+        if released:
+            _LOG.info(
+                'placements-released',
+                extra={
+                    'nodes': sorted(node_id for node_id, _ in ended),
+                    'count': len(released),
+                    'reason': 'the node has ended',
+                },
+            )
+
     def expire_reservations(self) -> None:
         """Remove reservations whose end was not reported in time."""
         now_s = self._clock.boot_s()
@@ -260,6 +304,7 @@
             self._clock.boot_s(),
             _suspect_ids(call),
             admission,
+            (call.node_id, call.incarnation),
         )
 
     def _with_room(
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
@@ -46,6 +46,11 @@
         self._avoid_until_s_by_start_id: dict[str, float] = {}
         self._timeout_count_by_start_id: dict[str, int] = {}
 
+    @property
+    def own_start(self) -> tuple[str, int]:
+        """Id and incarnation of this node."""
+        return self._identity.node_id, self._identity.incarnation
+
     def choose(self, service: str) -> peer_table.PeerReport | None:
         """Return the dispatcher of a service; None if it is this node."""
         now_s = self._clock.boot_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -354,6 +354,7 @@
             tuple(sorted(excluded)),
             random.getrandbits(64),
             job.fingerprint,
+            *self._selector.own_start,
         )
 
     def _build_demand(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -70,6 +70,7 @@
         # A peer builds an exchange after it has received the answer to the
         # previous one, so the time of that answer bounds its age.
         answered_at_s = None
+        sender = ('', 0)
         try:
             while True:
                 # A connection that waits holds no message.
@@ -88,6 +89,7 @@
                             versions, pending, is_answer=True
                         )
                     case messages.PlaceCall():
+                        sender = (message.node_id, message.incarnation)
                         answer = self._dispatcher.handle_call(message)
                     case messages.PlaceNote():
                         self._dispatcher.handle_note(message)
@@ -133,6 +135,7 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
         ) as error:
+            self._dispatcher.record_disconnect(*sender)
             _LOG.debug('peer-connection-ended', extra={'reason': str(error)})
         except Exception:
             # One malformed message must not end the connections of others.
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -122,6 +122,19 @@
                 del self._ended_by_start_id[start_id]
         return list(self._ended_by_start_id.values())
 
+    def is_replaced(self, node_id: str, incarnation: int) -> bool:
+        """Whether a node has started again since."""
+        report = self._report_by_id.get(node_id)
+        return report is not None and report.copy.incarnation > incarnation
+
+    def is_reporting(self, node_id: str) -> bool:
+        """Whether a node is live, leaving or not."""
+        reports = {peer.copy.node_id: peer for peer in self.all()}
+        oldest_s = self._clock.boot_s() - gossip_params.report_timeout_s(
+            len(reports)
+        )
+        return node_id in reports and reports[node_id].made_at_s >= oldest_s
+
     def all(self) -> list[PeerReport]:
         """Return all retained reports."""
         oldest_s = self._clock.boot_s() - _RETENTION_S
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -292,6 +292,7 @@
             await self._pool.close_expired()
             self._view.loads.evict_unused()
             self._peers.dispatcher.expire_reservations()
+            self._peers.dispatcher.release_ended(self._peers.gossip.peers)
             live = self._peers.gossip.peers.live()
             ids = sorted(peer.copy.node_id for peer in live)
             self._duties.set_rank(ids)
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import peer_table
+import pytest
 import trio
 from trio import testing
 
@@ -370,3 +371,44 @@
         rig.add_server('model', 2, _stream_backend([]))
         assert relay_rig.status_code(await _send_request(rig)) == 200
     assert limited == []
+
+
+@pytest.mark.parametrize(
+    'disconnects, reports, incarnation, kept',
+    [
+        (True, False, 1, 0),
+        (False, True, 2, 0),
+        # Frozen or slow, cut off from this node only, or leaving.
+        (False, False, 1, 3),
+        (True, True, 1, 3),
+    ],
+)
+def test_reservations_of_a_node_end_with_its_process(
+    disconnects, reports, incarnation, kept
+):
+    """Guards against places that a killed node keeps."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        near, far = testing.memory_stream_pair()
+        rig.add_server('model', 1, _stream_backend([]))
+        rig.table.merge_report(_copy('n2'))
+        rig.nursery.start_soon(_serve(rig), far)
+        frames = messages.FrameStream(near, messages.TrafficCount())
+        for number in range(3):
+            call = _CALL._replace(
+                booking=number, answer_tokens=900, node_id='n2', incarnation=1
+            )
+            await frames.send(1, call)
+            await frames.receive()
+        if disconnects:
+            await near.aclose()
+        await trio.sleep(3.0)
+        if reports:
+            copy = _copy('n2', sequence=2, is_leaving=True)
+            rig.table.merge_report(copy._replace(incarnation=incarnation))
+        rig.dispatcher.expire_reservations()
+        rig.dispatcher.release_ended(rig.table)
+        assert rig.dispatcher.handle_call(_CALL).running == kept
+
+    play()
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -524,6 +524,18 @@
         _set(clock.Clock, 'happened_s', lambda self: self.boot_s()),
         stalls.test_servers_that_end_together_blame_nothing_after_a_stall,
     ),
+    'a killed node keeps its places': (
+        _set(dispatcher.Dispatcher, 'record_disconnect', _always(None)),
+        lambda: dispatches.test_reservations_of_a_node_end_with_its_process(
+            True, False, 1, 0
+        ),
+    ),
+    'a node that is cut off from the dispatcher loses its places': (
+        _set(peer_table.PeerTable, 'is_reporting', _always(False)),
+        lambda: dispatches.test_reservations_of_a_node_end_with_its_process(
+            True, True, 1, 3
+        ),
+    ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
         versions.test_server_listed_while_another_is_chosen_is_not_used,
