Notice short stalls of nodes that have requests

A node that was frozen for 0.36 s dated ends at the time of waking: a stall is noticed only if it lasts longer than the wait of the event loop that it falls into, and waits last up to 0.25 s.

Change: while a node has requests, its event loop wakes up every 0.05 s.

Test: test_short_stall_is_noticed_by_a_node_with_requests; there was no such task before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -181,7 +181,8 @@
                 'seeds': len(settings.seeds),
             },
         )
-        trio.lowlevel.add_instrument(stall_meter.StallMeter(self._clock))
+        stalls = stall_meter.StallMeter(self._clock)
+        trio.lowlevel.add_instrument(stalls)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._watch_signals)
             for name, run in (
@@ -189,6 +190,7 @@
                 ('timer', self._timer.run),
                 *((f.topic, f.run) for f in self._view.followers),
                 ('peers', self._peers.run),
+                ('stalls', lambda: stalls.run(lambda: self._relay.in_flight)),
                 ('end checks', self._end_checker.run),
                 ('report checks', self._prover.run),
                 ('worker watch', self._prover.workers.run),
--- a/packages/node/src/foxtailrelay_node/internal/relay/stall_meter.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/stall_meter.py
@@ -1,11 +1,17 @@
 """Notices that this process did not run, as while it was frozen."""
 
+import typing
+
 import trio
 
 from foxtailrelay_node.internal.relay import clock as clocks
+from foxtailrelay_node.internal.relay import ticks
 
 # More than a step of the event loop takes on a busy machine.
 _MIN_STALL_S = 0.1
+# Waits of a node with requests end within this time, as a stall within one
+# cannot be noticed.
+_BUSY_INTERVAL_S = 0.05
 
 
 class StallMeter(trio.abc.Instrument):
@@ -21,6 +27,14 @@
         self._clock = clock
         self._ran_at_s = clock.boot_s()
 
+    async def run(self, is_busy: typing.Callable[[], bool]) -> None:
+        """Bound the waits of the event loop while there are requests."""
+        while True:
+            if is_busy():
+                await trio.sleep(_BUSY_INTERVAL_S)
+            else:
+                await ticks.sleep()
+
     def before_io_wait(self, timeout: float) -> None:
         """Record that tasks have run."""
         self._record(0.0)
--- a/tests/cover/relay/test_stalls.py
+++ b/tests/cover/relay/test_stalls.py
@@ -5,6 +5,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_reservations
 from foxtailrelay_node.internal.relay import stall_meter
 import pytest
+import trio
 
 from common import fake_clocks
 from common import relay_rig
@@ -32,6 +33,31 @@
     assert clock.happened_s() == clock.now_s
 
 
+class _Waits(trio.abc.Instrument):
+    """Records the longest wait of an event loop."""
+
+    longest_s = 0.0
+
+    def before_io_wait(self, timeout):
+        # Without any task to wake up, the event loop waits for a day.
+        if timeout < 86_400:
+            self.longest_s = max(self.longest_s, timeout)
+
+
+@pytest.mark.parametrize('is_busy', [False, True])
+def test_short_stall_is_noticed_by_a_node_with_requests(is_busy):
+    """Guards against a stall within a wait that would have lasted longer."""
+    waits = _Waits()
+
+    async def play():
+        meter = stall_meter.StallMeter(fake_clocks.ManualClock())
+        with trio.move_on_after(0.6):
+            await meter.run(lambda: is_busy)
+
+    trio.run(play, instruments=[waits])
+    assert (waits.longest_s <= 0.06) == is_busy
+
+
 class _Notes:
     """Receives the notes of reservations."""
 
