--- a/packages/core/src/foxtailrelay_core/internal/place_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/place_messages.py
@@ -31,6 +31,10 @@
     fingerprint : str
         Equal for requests that differ only in their ids; empty from older
         releases.
+    node_id : str
+        The sender; empty from older releases.
+    incarnation : int
+        The sender's start.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     excluded: tuple[str, ...]
     booking: int
     fingerprint: str = ''
+    node_id: str = ''
+    incarnation: int = 0
 
 
 class PlaceAnswer(typing.NamedTuple):
@@ -119,6 +125,8 @@
         Whether the server ended while it may have begun this answer.
     is_rejected : bool
         Whether the server had no room for the request.
+    crash_age_ms : int
+        Milliseconds since the server ended at the earliest.
     """
 
     booking: int
@@ -126,3 +134,4 @@
     first_us: int
     is_crash: bool = False
     is_rejected: bool = False
+    crash_age_ms: int = 0
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -18,6 +18,7 @@
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import node_registry
 from foxtailrelay_node.internal.relay.peers import peer_signs
+from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -153,6 +154,8 @@
             self.gossip.peers,
             self._signs_client,
             clock,
+        self._origin_transfer = origin_transfer.OriginTransfer(
+            self.origins, self.gossip.peers, self._stream_client
         )
         self.tunnels = tunnel_client.TunnelClient(
             settings.zone, self.gossip.peers, dialer, clock
@@ -190,6 +193,7 @@
             nursery.start_soon(self._dispatch_client.run)
             nursery.start_soon(self._stream_client.run)
             nursery.start_soon(self._signs_client.run)
+            nursery.start_soon(self._origin_transfer.run)
             nursery.start_soon(self._registry.run)
 
     def rank_followers(self, node_ids: list[str]) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -30,6 +30,7 @@
 from foxtailrelay_node.internal.relay import request_relay
 from foxtailrelay_node.internal.relay import request_timer
 from foxtailrelay_node.internal.relay import settings_watcher
+from foxtailrelay_node.internal.relay import stall_meter
 from foxtailrelay_node.internal.relay.state import spend_record
 from foxtailrelay_node.internal.relay import status_handler
 from foxtailrelay_node.internal.relay import supervision
@@ -185,6 +186,8 @@
                 'seeds': len(settings.seeds),
             },
         )
+        stalls = stall_meter.StallMeter(self._clock)
+        trio.lowlevel.add_instrument(stalls)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._watch_signals)
             for name, run in (
@@ -192,6 +195,7 @@
                 ('timer', self._timer.run),
                 *((f.topic, f.run) for f in self._view.followers),
                 ('peers', self._peers.run),
+                ('stalls', lambda: stalls.run(lambda: self._relay.in_flight)),
                 ('end checks', self._end_checker.run),
                 ('report checks', self._prover.run),
                 ('worker watch', self._prover.workers.run),
@@ -295,6 +299,7 @@
             await self._pool.close_expired()
             self._view.loads.evict_unused()
             self._peers.dispatcher.expire_reservations()
+            self._peers.dispatcher.release_ended(self._peers.gossip.peers)
             live = self._peers.gossip.peers.live()
             ids = sorted(peer.copy.node_id for peer in live)
             self._duties.set_rank(ids)
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -21,6 +21,7 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay.catalogue import route
+from foxtailrelay_node.internal.relay import clock
 from foxtailrelay_node.internal.relay import corrected_clock
 from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
@@ -34,6 +35,7 @@
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import answer_end
@@ -72,6 +74,7 @@
 from cover.relay import test_server_limits as limits
 from cover.relay import test_server_list as lists
 from cover.relay import test_server_notices as notices
+from cover.relay import test_stalls as stalls
 from cover.relay import test_stream_guarantees as streams
 from cover.relay import test_stream_versions as versions
 from cover.relay import test_usage_reporter as reporters
@@ -510,6 +513,30 @@
             7
         ),
     ),
+    'nodes that start again are not sent the origins that they held': (
+        _set(
+            origin_transfer.OriginTransfer,
+            'send_to_new_holders',
+            _always_async(None),
+        ),
+        lambda: versions.test_origin_outlives_restarts_of_all_nodes_in_turn(4),
+    ),
+    'servers that ended while a node stood still ended when it woke': (
+        _set(clock.Clock, 'happened_s', lambda self: self.boot_s()),
+        stalls.test_servers_that_end_together_blame_nothing_after_a_stall,
+    ),
+    'a killed node keeps its places': (
+        _set(dispatcher.Dispatcher, 'record_disconnect', _always(None)),
+        lambda: dispatches.test_reservations_of_a_node_end_with_its_process(
+            True, False, 1, 0
+        ),
+    ),
+    'a node that is cut off from the dispatcher loses its places': (
+        _set(peer_table.PeerTable, 'is_reporting', _always(False)),
+        lambda: dispatches.test_reservations_of_a_node_end_with_its_process(
+            True, True, 1, 3
+        ),
+    ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
         versions.test_server_listed_while_another_is_chosen_is_not_used,
