Keep proved causes of crashes when callers share a part

Cause: the suspect with the most ends explains them all.

Change: a part that was answered before is blamed beside causes that never were only if the ends that these leave unexplained prove that.

--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/crash_attribution.py
@@ -166,8 +166,9 @@
 ) -> dict[str, list[Crash]]:
     """Drop suspects that were answered if others explain their crashes.
 
-    Where two requests crash servers by turns, a poll that is at every server
-    is at the crashes of both.
+    Where several prompts crash servers by turns, a part that all callers
+    share is at the crashes of each.  It is to blame only if what the others
+    leave unexplained proves that.
     """
     first_id = max(blamed, key=lambda s: rank(s, blamed[s]))
     if first_id not in answered_at_s_by_suspect:
@@ -177,9 +178,13 @@
         for suspect_id, found in blamed.items()
         if suspect_id not in answered_at_s_by_suspect
     }
-    for crash in blamed[first_id]:
-        if crash.suspect_ids.isdisjoint(unanswered):
-            return blamed
+    rest = [
+        crash
+        for crash in blamed[first_id]
+        if crash.suspect_ids.isdisjoint(unanswered)
+    ]
+    if not unanswered or _is_proved(first_id, rest, True):
+        return blamed
     return unanswered
 
 
--- a/tests/cover/relay/test_crash_attribution.py
+++ b/tests/cover/relay/test_crash_attribution.py
@@ -112,6 +112,14 @@
     assert _blamed(crashes, {'poll': 1.0}) == {'bad1', 'bad2'}
 
 
+def test_frequent_part_is_not_blamed_for_some_ends_beside_two_causes():
+    """Guards against causes released since all callers share a part."""
+    crashes = _crashes(*[{'bad1', 'aa'}, {'bad2', 'aa'}] * 3, *[{'aa'}] * 4)
+    assert _blamed(crashes, {'aa': 1.0}) == {'bad1', 'bad2'}
+    crashes += _crashes({'aa'}, first_s=30.0)
+    assert _blamed(crashes, {'aa': 1.0}) == {'aa'}
+
+
 def test_parts_of_the_same_crashes_are_reported_as_ambiguous():
     crashes = _crashes(*[{'one', 'other'}] * 3)
     verdicts = crash_attribution.find_crash_causes(crashes, {}, frozenset())
