Merge records of spending slot by slot

Cause: of several records, each by a node that was the writer for a while, the one with most units counted for an organisation, so a longer record of a node that had ended hid what was spent afterwards, and nodes that all started again could spend that once more.

Change: of records, the most units count in each slot of time. test_a_record_with_more_units_does_not_hide_what_was_spent_later failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/quota.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/quota.py
@@ -273,14 +273,17 @@
     def record_earlier_spends(
         self, spends: typing.Iterable[messages.Spend], at_s: float
     ) -> None:
-        """Record what all nodes had spent up to ``at_s``; the most counts."""
+        """Record what all nodes had spent up to ``at_s``.
+
+        Of several records the most units count in each slot.
+        """
         if self._earlier_by_name is None:
             self._earlier_by_name = {}
         for spend in spends:
-            known = self._earlier_by_name.get(spend.organisation)
-            if known is not None and sum(known.slots) >= sum(spend.slots):
-                continue
             entry = spending.Spending(spend.slots, at_s)
+            known = self._earlier_by_name.get(spend.organisation)
+            if known is not None:
+                entry = spending.merge_records(known, entry)
             self._earlier_by_name[spend.organisation] = entry
 
     def _earlier(self, now_s: float) -> dict[str, spending.Spending]:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/spending.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/spending.py
@@ -1,5 +1,6 @@
 """Units that nodes spent, by slots of time."""
 
+import itertools
 import typing
 
 SLOT_S = 0.5
@@ -67,3 +68,19 @@
             if slot < len(slots):
                 slots[slot] += units
     return tuple(slots)
+
+
+def merge_records(one: Spending, other: Spending) -> Spending:
+    """Return the most units of two records in each slot.
+
+    Examples
+    --------
+    >>> merge_records(Spending((3, 3), 1.0), Spending((5, 1), 1.5)).slots
+    (5, 3, 3)
+    """
+    older, newer = sorted((one, other), key=lambda record: record.at_s)
+    shift = round((newer.at_s - older.at_s) / SLOT_S)
+    slots = itertools.zip_longest(
+        newer.slots, (0,) * shift + older.slots, fillvalue=0
+    )
+    return Spending(tuple(max(units) for units in slots), newer.at_s)
--- a/tests/cover/relay/test_quota.py
+++ b/tests/cover/relay/test_quota.py
@@ -335,6 +335,17 @@
     assert sum(spend.slots[3:]) == 500
 
 
+def test_a_record_with_more_units_does_not_hide_what_was_spent_later():
+    """Guards against the record of a node that ended before the others."""
+    quota = quotas.Quota(_WINDOW_S, 0.0, 0.0)
+    early = (messages.Spend('org', (4000,) * 8),)
+    late = (messages.Spend('org', (3000, 3000, 4000)),)
+    for record in ((early, 0.0), (late, 1.0)):
+        quota.record_earlier_spends(*record)
+    (spend,) = quota.build_cluster_spends(1.0)
+    assert sum(spend.slots[3:]) == 2 * 3000 + 8 * 4000
+
+
 def test_a_node_that_is_alone_gets_the_whole_limit_after_a_window():
     """Guards against a share for registered nodes that are long gone."""
     quota = quotas.Quota(_WINDOW_S, 0.0, 0.0)
