--- a/packages/node/src/foxtailrelay_node/internal/relay/corrected_clock.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/corrected_clock.py
@@ -1,8 +1,5 @@
 """Unix time without the jumps of the wall clock."""
 
-import statistics
-import typing
-
 from foxtailrelay_node.internal.relay import clock as clocks
 
 # A larger change of the offset is a jump and not drift.
@@ -45,13 +42,13 @@
     def record_peer_time(self, node: str, wall_s: float) -> None:
         """Record the current time of a peer's clock."""
         self._peer_offset_s_by_node[node] = wall_s - self._clock.boot_s()
-        offsets_s: typing.Iterable[float] = [
-            *self._peer_offset_s_by_node.values(),
-            self._offset_s,
-        ]
         if len(self._peer_offset_s_by_node) + 1 < _MIN_CLOCKS:
             return
-        median_s = statistics.median(offsets_s)
+        offsets_s = sorted(
+            [*self._peer_offset_s_by_node.values(), self._offset_s]
+        )
+        middle = len(offsets_s) // 2
+        median_s = (offsets_s[middle] + offsets_s[~middle]) / 2
         if abs(median_s - self._offset_s) > _MAX_DRIFT_S:
             self._offset_s = median_s
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -224,8 +224,8 @@
             tuple(copies),
             pending.wants,
             pending.topics,
-            tuple(peer_versions.start_hash(peer.copy) for peer in listed),
-            tuple(peer.copy.sequence for peer in listed),
+            tuple([peer.start_hash for peer in listed]),
+            tuple([peer.copy.sequence for peer in listed]),
         )
 
     @staticmethod
@@ -239,7 +239,9 @@
         missing = [
             peer.copy._replace(age_ms=_age_ms(now_s, peer.made_at_s))
             for peer in reports
-            if versions.should_send(peer.copy, now_s, interval_s)
+            if versions.should_send(
+                peer.start_hash, peer.copy.sequence, now_s, interval_s
+            )
         ]
         return missing[:_MAX_FORWARDED_REPORTS]
 
@@ -461,11 +463,8 @@
         live = self.peers.live()
         members = self.peers.members()
         now_s = self._clock.boot_s()
-        has_old_peer = any(
-            self._state.time.now_s() - p.copy.incarnation / 1000
-            > self._window_s
-            for p in live
-        )
+        started_by_ms = 1000 * (self._state.time.now_s() - self._window_s)
+        has_old_peer = any(p.copy.incarnation < started_by_ms for p in live)
         known = max(len(live), len(members)) + 1
         registered = self.registered_count()
         if registered is None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.peers import gossip_params
+from foxtailrelay_node.internal.relay.peers import peer_versions
 
 # Time after its last report for which a node counts as a member; longer than
 # any window in which its counts are used.
@@ -25,11 +26,14 @@
         The decoded report.
     made_at_s : float
         When it was built, on this node's boot clock.
+    start_hash : int
+        Identifies the start of the node in the exchanges.
     """
 
     copy: messages.ReportCopy
     report: messages.NodeReport
     made_at_s: float
+    start_hash: int
 
     @property
     def start_id(self) -> str:
@@ -112,7 +116,8 @@
 
     def _decode(self, copy: messages.ReportCopy) -> PeerReport:
         made_at_s = self._clock.boot_s() - copy.age_ms / 1000
-        return PeerReport(copy, _decode_report(copy), made_at_s)
+        start_hash = peer_versions.start_hash(copy)
+        return PeerReport(copy, _decode_report(copy), made_at_s, start_hash)
 
     def ended(self) -> list[PeerReport]:
         """Return the last reports of starts that a later one has replaced."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_versions.py
@@ -30,14 +30,16 @@
         self._has_held_versions = False
 
     def should_send(
-        self, copy: messages.ReportCopy, now_s: float, interval_s: float
+        self, start: int, sequence: int, now_s: float, interval_s: float
     ) -> bool:
         """Return whether to send the peer a report of another node.
 
         Parameters
         ----------
-        copy : ReportCopy
-            The report.
+        start : int
+            Hash of the start of the node.
+        sequence : int
+            Version of the report.
         now_s : float
             Current time of the boot clock.
         interval_s : float
@@ -45,8 +47,7 @@
         """
         if not self._has_held_versions:
             return False
-        start = start_hash(copy)
-        if self._sequence_by_start_hash.get(start, -1) >= copy.sequence:
+        if self._sequence_by_start_hash.get(start, -1) >= sequence:
             return False
         sent_at_s = self._sent_at_s_by_start_hash.get(start)
         return sent_at_s is None or now_s - sent_at_s >= interval_s
@@ -63,5 +64,5 @@
         """Record the versions that the peer lists as held."""
         self._has_held_versions = True
         for start, sequence in zip(starts, sequences, strict=False):
-            current = self._sequence_by_start_hash.get(start, -1)
-            self._sequence_by_start_hash[start] = max(current, sequence)
+            if sequence > self._sequence_by_start_hash.get(start, -1):
+                self._sequence_by_start_hash[start] = sequence
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -284,6 +284,7 @@
                     self._stop_requested.set()
 
     async def _run_maintenance(self) -> None:
+        ranked_ids: list[str] | None = None
         while True:
             await ticks.sleep(_MAINTENANCE_INTERVAL_S)
             self._view.time.update_offset()
@@ -291,9 +292,11 @@
             self._view.loads.evict_unused()
             self._peers.dispatcher.expire_reservations()
             live = self._peers.gossip.peers.live()
-            ids = sorted(peer.copy.node_id for peer in live)
-            self._duties.set_rank(ids)
-            self._peers.rank_followers(ids)
+            ids = sorted([peer.copy.node_id for peer in live])
+            if ids != ranked_ids:
+                self._duties.set_rank(ids)
+                self._peers.rank_followers(ids)
+                ranked_ids = ids
 
 
 class _ReadinessSource(status_handler.StatusSource):
