--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -277,10 +277,10 @@
 
     Callers choose some of these numbers, such as the tokens of a prompt.
     """
-    return [
-        max(0, min(_MAX_UINT32, value))
-        for value in itertools.chain.from_iterable(rows)
-    ]
+    values = _flatten(rows)
+    if values and (min(values) < 0 or max(values) > _MAX_UINT32):
+        return [max(0, min(_MAX_UINT32, value)) for value in values]
+    return values
 
 
 def _build_all(kind, *columns: typing.Iterable) -> tuple:
