--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -478,12 +478,13 @@
         )
         self._state.budget.set_node_count(len(members) + 1)
         self._state.quarantine.set_node_count(len(members) + 1)
+        oldest_s = now_s - self._window_s
         for peer in self.peers.all():
-            if now_s - peer.made_at_s > self._window_s:
+            if peer.made_at_s < oldest_s:
                 self._state.budget.remove_peer(peer.start_id)
                 self._state.time.remove_peer(peer.copy.node_id)
         for ended in self.peers.ended():
-            if now_s - ended.made_at_s > self._window_s:
+            if ended.made_at_s < oldest_s:
                 self._state.budget.remove_peer(ended.start_id)
 
     def _build_mark(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -130,29 +130,29 @@
     def all(self) -> list[PeerReport]:
         """Return all retained reports."""
         oldest_s = self._clock.boot_s() - _RETENTION_S
-        for node_id, report in list(self._report_by_id.items()):
-            if report.made_at_s < oldest_s:
-                del self._report_by_id[node_id]
-        return list(self._report_by_id.values())
+        reports = list(self._report_by_id.values())
+        if min([r.made_at_s for r in reports], default=oldest_s) < oldest_s:
+            reports = [r for r in reports if r.made_at_s >= oldest_s]
+            self._report_by_id = {r.copy.node_id: r for r in reports}
+        return reports
 
     def live(self) -> list[PeerReport]:
         """Return the reports of live nodes that are not leaving."""
         reports = self.all()
-        oldest_s = self._clock.boot_s() - gossip_params.report_timeout_s(
-            len(reports)
-        )
-        return [
-            report
-            for report in reports
-            if report.made_at_s >= oldest_s and not report.report.is_leaving
-        ]
+        timeout_s = gossip_params.report_timeout_s(len(reports))
+        return self._recent(reports, timeout_s)
 
     def members(self) -> list[PeerReport]:
         """Return the reports of nodes that may be live and are not leaving."""
-        oldest_s = self._clock.boot_s() - MEMBER_TIMEOUT_S
+        return self._recent(self.all(), MEMBER_TIMEOUT_S)
+
+    def _recent(
+        self, reports: list[PeerReport], timeout_s: float
+    ) -> list[PeerReport]:
+        oldest_s = self._clock.boot_s() - timeout_s
         return [
             report
-            for report in self.all()
+            for report in reports
             if report.made_at_s >= oldest_s and not report.report.is_leaving
         ]
 
