--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -17,8 +17,8 @@
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import node_registry
-from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import origin_transfer
+from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -154,6 +154,7 @@
             self.gossip.peers,
             self._signs_client,
             clock,
+        )
         self._origin_transfer = origin_transfer.OriginTransfer(
             self.origins, self.gossip.peers, self._stream_client
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -7,6 +7,7 @@
 
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.peers import gossip_params
+from foxtailrelay_node.internal.relay.peers import peer_versions
 
 # Time after its last report for which a node counts as a member; longer than
 # any window in which its counts are used.
@@ -25,11 +26,14 @@
         The decoded report.
     made_at_s : float
         When it was built, on this node's boot clock.
+    start_hash : int
+        Identifies the start of the node in the exchanges.
     """
 
     copy: messages.ReportCopy
     report: messages.NodeReport
     made_at_s: float
+    start_hash: int
 
     @property
     def start_id(self) -> str:
@@ -112,7 +116,8 @@
 
     def _decode(self, copy: messages.ReportCopy) -> PeerReport:
         made_at_s = self._clock.boot_s() - copy.age_ms / 1000
-        return PeerReport(copy, _decode_report(copy), made_at_s)
+        start_hash = peer_versions.start_hash(copy)
+        return PeerReport(copy, _decode_report(copy), made_at_s, start_hash)
 
     def ended(self) -> list[PeerReport]:
         """Return the last reports of starts that a later one has replaced."""
@@ -138,29 +143,29 @@
     def all(self) -> list[PeerReport]:
         """Return all retained reports."""
         oldest_s = self._clock.boot_s() - _RETENTION_S
-        for node_id, report in list(self._report_by_id.items()):
-            if report.made_at_s < oldest_s:
-                del self._report_by_id[node_id]
-        return list(self._report_by_id.values())
+        reports = list(self._report_by_id.values())
+        if min([r.made_at_s for r in reports], default=oldest_s) < oldest_s:
+            reports = [r for r in reports if r.made_at_s >= oldest_s]
+            self._report_by_id = {r.copy.node_id: r for r in reports}
+        return reports
 
     def live(self) -> list[PeerReport]:
         """Return the reports of live nodes that are not leaving."""
         reports = self.all()
-        oldest_s = self._clock.boot_s() - gossip_params.report_timeout_s(
-            len(reports)
-        )
-        return [
-            report
-            for report in reports
-            if report.made_at_s >= oldest_s and not report.report.is_leaving
-        ]
+        timeout_s = gossip_params.report_timeout_s(len(reports))
+        return self._recent(reports, timeout_s)
 
     def members(self) -> list[PeerReport]:
         """Return the reports of nodes that may be live and are not leaving."""
-        oldest_s = self._clock.boot_s() - MEMBER_TIMEOUT_S
+        return self._recent(self.all(), MEMBER_TIMEOUT_S)
+
+    def _recent(
+        self, reports: list[PeerReport], timeout_s: float
+    ) -> list[PeerReport]:
+        oldest_s = self._clock.boot_s() - timeout_s
         return [
             report
-            for report in self.all()
+            for report in reports
             if report.made_at_s >= oldest_s and not report.report.is_leaving
         ]
 
