Do not end a stream before an event that a server had begun

Decided: two servers that agree are still a proof of the end, unless a server has sent bytes of a following event before it broke the stream off. Then no number of empty answers is one. Sound callers lose nothing by it: only a stream for which a faulty server sent bytes of an event after the last one can no longer be seen to end. The number of the event begun is kept with the stream's origin (StreamOrigin.followingId @8), so that the node knows it that the caller comes back to; older releases ignore it.

Weighed and not built: three servers for any stream that was broken off. A sound caller whose server ended between the last event and the end of the answer would get 502 at each return where a route allows fewer than three attempts, or fewer than three servers of the version are listed.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -269,6 +269,7 @@
   fingerprint @5 :Text;
   isCertain @6 :Bool;
   keepMs @7 :UInt32;
+  followingId @8 :UInt64;
 }
 
 struct StreamQuery {
--- a/packages/core/src/foxtailrelay_core/internal/stream_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -22,6 +22,9 @@
         Whether the sender's list of servers was current.
     keep_ms : int
         Milliseconds for which the origin may be needed.
+    following_id : int
+        Number of an event that a server had begun when it broke the stream
+        off; 0 if none is known.
     """
 
     request_id: str
@@ -32,6 +35,7 @@
     fingerprint: str
     is_certain: bool
     keep_ms: int
+    following_id: int = 0
 
 
 class StreamQuery(typing.NamedTuple):
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -136,16 +136,18 @@
         try:
             while (part := await self._backend.receive_part()) is not None:
                 events = splitter.feed(part)
-                if splitter.has_partial_event:
-                    self._record_partial_event(splitter)
+                self._record_partial_event(splitter)
                 if not lease.try_resize(splitter.buffered_bytes):
                     return self._record_without_room(splitter.buffered_bytes)
                 if events:
                     fault = await self._forward(head, events)
                     if fault:
                         return results.Broken(fault)
+                    self._record_partial_event(splitter)
         except event_splitter.MalformedEvent as error:
             return results.Broken(str(error))
+        finally:
+            self._streams.record_break(self._progress)
         return await self._finish_events(head, splitter)
 
     async def _forward(
@@ -360,10 +362,7 @@
         self, splitter: event_splitter.EventSplitter
     ) -> None:
         """Record that an event follows the last one, if it does."""
-        if (
-            self._progress.unconfirmed_end is not None
-            and not splitter.has_partial_comment
-        ):
+        if splitter.has_partial_event and not splitter.has_partial_comment:
             self._progress.position.has_later_events = True
 
     def _record_first_part(self) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -70,6 +70,9 @@
             )
             if found.origins:
                 progress.origin = found.origins[0]
+                progress.position.record_later_event(
+                    progress.origin.following_id
+                )
                 return job._replace(service=service)
         # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
@@ -119,6 +122,20 @@
             progress.origin = origin
         self._context.origins.record(progress.origin)
 
+    def record_break(self, progress: progresses.Progress) -> None:
+        """Record that a stream goes on, for the node that takes it up."""
+        position, origin = progress.position, progress.origin
+        if (
+            origin is None
+            or position.last_id is None
+            or not (position.is_certain and position.has_later_events)
+            or position.last_id < origin.following_id
+        ):
+            return
+        position.record_later_event(position.last_id + 1)
+        progress.origin = origin._replace(following_id=position.last_id + 1)
+        self._context.origins.record(progress.origin)
+
     def exclude_servers(
         self, job: jobs.Job, progress: progresses.Progress
     ) -> set[str] | errors.Failure:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -27,6 +27,8 @@
         skips an event.
     has_later_events : bool
         Whether an answer has shown that events follow after ``last_id``.
+    following_id : int
+        The highest number of an event that is known to exist; 0 if none.
     first_id_of_answer : int or None
         Id of the first event that the current answer has added.
     added_count : int
@@ -47,11 +49,18 @@
         self.last_id = resumed_after_id
         self.is_certain = True
         self.has_later_events = False
+        self.following_id = 0
         self.first_id_of_answer: int | None = None
         self.added_count = 0
         self._must_continue = False
         self._find_fault_of_first: typing.Callable[[int], str] | None = None
 
+    def record_later_event(self, event_id: int) -> None:
+        """Record that the stream has an event with a number."""
+        self.following_id = max(self.following_id, event_id)
+        if self.last_id is not None and event_id > self.last_id:
+            self.has_later_events = True
+
     def begin_answer(
         self, find_fault_of_first: typing.Callable[[int], str] | None = None
     ) -> None:
@@ -82,7 +91,7 @@
                 self.first_id_of_answer = event.id
             self.added_count += 1
             self.is_certain = True
-            self.has_later_events = False
+            self.has_later_events = self.following_id > event.id
             self._must_continue = False
         elif event.is_message:
             if self._must_continue:
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -55,6 +55,7 @@
 import test_store_restore as restores
 
 from cover.relay import test_answer_memory as answers
+from cover.relay import test_broken_off_streams as broken
 from cover.relay import test_clocks as clocks
 from cover.relay import test_cluster_retry_budget as budgets
 from cover.relay import test_crash_attribution as attributions
@@ -536,6 +537,12 @@
             True, True, 1, 3
         ),
     ),
+    'a stream may end where a server broke it off in an event': (
+        _set(stream_versions.StreamVersions, 'record_break', _always(None)),
+        lambda: broken.test_stream_does_not_end_before_an_event_that_had_begun(
+            b'i', False
+        ),
+    ),
     'a server is not checked again before a stream is sent to it': (
         _set(progress.Progress, 'may_use', _always(True)),
         versions.test_server_listed_while_another_is_chosen_is_not_used,
