Play a site's sheet as real processes

The soak has traffic and faults of its own and reads no sheet.

make play-site reads a site file at run time, starts nodes and backend servers as processes, and checks ORDER, MIXED, TWICE and REFUSED on what callers and servers recorded.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: review-cases soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
+.PHONY: review-cases play-site soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -84,6 +84,23 @@
 	    $(SOAK) --seeds $(seed) --seconds 6 &&) true
 	$(SOAK) --seeds 3 --seconds 8 --production landing
 
+# Plays the troubles of a site file on real processes:
+# make play-site SITE=FILE TROUBLES="srv_crash,garble extra late" FRAMING=close
+SITE :=
+TROUBLES := all
+FRAMING := chunked
+SHARE := 0.3
+PLAY_SECONDS := 50
+SEED := 1
+# Not empty: each two troubles together.
+PAIRS :=
+
+play-site: $(INSTALLED)
+	PYTHONPATH=.:platform:tests:platform/tests $(PYTHON) -m emulator \
+	    --site '$(SITE)' --troubles '$(TROUBLES)' --framing $(FRAMING) \
+	    --share $(SHARE) --seconds $(PLAY_SECONDS) --seed $(SEED) \
+	    $(PAIRS:%=--pairs) $(SOURCES:%=--sources %)
+
 # Plays the cases of the review against the build of deploy/system.toml, which
 # must be in target/deps.
 review-cases:
