--- a/Makefile
+++ b/Makefile
@@ -92,6 +92,8 @@
 SHARE := 0.3
 PLAY_SECONDS := 50
 SEED := 1
+# Raises the share of requests that servers answer wrongly.
+X_FACTOR := 1
 # Not empty: each two troubles together.
 PAIRS :=
 
@@ -99,6 +101,7 @@
 	PYTHONPATH=.:platform:tests:platform/tests $(PYTHON) -m emulator \
 	    --site '$(SITE)' --troubles '$(TROUBLES)' --framing $(FRAMING) \
 	    --share $(SHARE) --seconds $(PLAY_SECONDS) --seed $(SEED) \
+	    --x-factor $(X_FACTOR) \
 	    $(PAIRS:%=--pairs) $(SOURCES:%=--sources %)
 
 # Plays the cases of the review against the build of deploy/system.toml, which
--- a/tests/cover/test_emulator.py
+++ b/tests/cover/test_emulator.py
@@ -111,6 +111,8 @@
     assert len(troubles.select(sheet.troubles, 'all', True).plays) == 3
     (play,) = troubles.select(sheet.troubles, 'garble extra late', False).plays
     assert play[0].x == 0.5
+    raised = troubles.raise_shares(sheet.troubles, 4.0)
+    assert [t.x for t in raised] == [1.0, 0.4, None, 3.0]
 
 
 def _record(status, path='once'):
