Judge bursts of ends by the time for which a process was seen

Read in the code: a server that had begun to answer 2 s ago had ended nothing before, so its steady ends looked like a burst (15 ends within 1.5 s of each other), and each sound one cost a health check and, where it may be resumed, a second run. At more than 64 ends in 12 s the earlier ones were forgotten, with the same effect.

Change: the rate of ends is taken over the time for which this node has known the process, windows longer than half of it are not looked at, and 400 ends are kept.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -11,7 +11,8 @@
 
 from foxtailrelay_node.internal.relay.policy import answer_end
 
-_MAX_ENDS = 64
+# Of the busiest servers in the time for which ends are counted.
+_MAX_ENDS = 400
 _MAX_PROCESSES = 1000
 
 
@@ -34,6 +35,7 @@
     lived_at_s: float = -math.inf
     lost_at_s: float = -math.inf
     begun_at_s: float = -math.inf
+    since_s: float = math.inf
     ended_at_s_by_number: collections.OrderedDict[int, float] = (
         dataclasses.field(default_factory=collections.OrderedDict)
     )
@@ -70,6 +72,7 @@
         number = next(self._numbers)
         signs = self._get(key)
         signs.under_way_by_number[number] = answer
+        signs.since_s = min(signs.since_s, answer.attempt_sent_at_s)
         try:
             yield number
         finally:
@@ -131,6 +134,7 @@
                 ]
             ),
             tuple(signs.cut_at_s),
+            since_s=signs.since_s,
         )
 
     def _get(self, key: tuple[str, int]) -> _Signs:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -114,6 +114,8 @@
         When connections cut other answers off before their end.
     peers_lost_at_s : sequence of float
         When other nodes last lost a connection that was in use for reports.
+    since_s : float
+        When this node sent the process its first request.
     """
 
     lived_at_s: float
@@ -122,6 +124,7 @@
     begun_at_s: float = -math.inf
     cut_at_s: typing.Sequence[float] = ()
     peers_lost_at_s: typing.Sequence[float] = ()
+    since_s: float = -math.inf
 
     def merge(self, peer: 'ProcessSigns') -> 'ProcessSigns':
         """Return these signs with those that another node has seen."""
@@ -169,12 +172,14 @@
         ago_s <= _MAX_CONFIRM_S for ago_s in ended_ago_s
     ):
         return EndVerdict.UNCONFIRMED
-    if is_burst(ended_ago_s):
+    if is_burst(ended_ago_s, end.ended_at_s - signs.since_s):
         return EndVerdict.COINCIDENT
     return EndVerdict.WHOLE
 
 
-def is_burst(ended_ago_s: typing.Sequence[float]) -> bool:
+def is_burst(
+    ended_ago_s: typing.Sequence[float], seen_for_s: float = math.inf
+) -> bool:
     """Whether answers ended so close to one that it is hardly by chance.
 
     Answers of a process that lives on end independently of each other, as
@@ -184,18 +189,24 @@
     ----------
     ended_ago_s : sequence of float
         Seconds from the ends of other answers to this one.
+    seen_for_s : float
+        For how long ends of the process would have been seen.
 
     Examples
     --------
     >>> is_burst([0.001]), is_burst([0.7]), is_burst([0.7, -0.3, 0.1, 0.4])
     (True, False, True)
     """
-    ended_ago_s = [ago_s for ago_s in ended_ago_s if ago_s <= ENDS_KEPT_S]
+    seen_for_s = min(seen_for_s, ENDS_KEPT_S)
+    ended_ago_s = [ago_s for ago_s in ended_ago_s if ago_s <= seen_for_s]
     for window_s in _BURST_WINDOWS_S:
+        # A process that has just begun to answer ends none before.
+        if 2 * window_s > seen_for_s:
+            break
         near = sum(abs(ago_s) <= window_s for ago_s in ended_ago_s)
         earlier = sum(ago_s > window_s for ago_s in ended_ago_s)
         # One more end, as none may have been seen yet.
-        per_s = (earlier + 1) / ENDS_KEPT_S
+        per_s = (earlier + 1) / (seen_for_s - window_s)
         if _poisson_tail(near, 2 * window_s * per_s) <= _MAX_BURST_CHANCE:
             return True
     return False
