Take reports that a stall delayed for older ones

A node that was frozen dated ends in the reports that waited for it at the time of waking, and so at a second moment.

Change: an end in a report that arrives within 0.5 s after a stall may have been earlier by the time for which the node stood still.

Test: test_report_that_a_stall_delayed_makes_no_second_moment failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -244,6 +244,8 @@
             self._clear(
                 suspect.service, records, suspect.suspect_id, at_s, peer
             )
+        # The report has waited for as long as this node stood still.
+        unsure_s = self._clock.boot_s() - self._clock.happened_s()
         for service in {crash.service for crash in report.crashes}:
             records = self._records(service)
             is_changed = False
@@ -251,7 +253,9 @@
                 if crash.service == service:
                     is_changed |= records.add_crash(
                         (crash.server, crash.started_ms),
-                        crash_records.Crash.from_message(crash, made_at_s),
+                        crash_records.Crash.from_message(
+                            crash, made_at_s, unsure_s
+                        ),
                     )
             if is_changed:
                 self._evaluate(service, records)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -40,8 +40,10 @@
     unsure_s: float = 0.0
 
     @classmethod
-    def from_message(cls, crash: messages.Crash, made_at_s: float) -> 'Crash':
-        """Return a crash that a peer reported at a time."""
+    def from_message(
+        cls, crash: messages.Crash, made_at_s: float, unsure_s: float = 0.0
+    ) -> 'Crash':
+        """Return a crash that a peer reported at a time, or earlier."""
         at_s = made_at_s - crash.age_ms / 1000
         sent_at_s_by_suspect = dict.fromkeys(crash.suspect_ids, -math.inf)
         for suspect_id, running_ms in zip(
@@ -49,7 +51,12 @@
         ):
             if running_ms < UNKNOWN_MS:
                 sent_at_s_by_suspect[suspect_id] = at_s - running_ms / 1000
-        return cls(at_s, sent_at_s_by_suspect, False, crash.unsure_ms / 1000)
+        return cls(
+            at_s,
+            sent_at_s_by_suspect,
+            False,
+            unsure_s + crash.unsure_ms / 1000,
+        )
 
 
 class Release(typing.NamedTuple):
--- a/tests/cover/relay/test_stalls.py
+++ b/tests/cover/relay/test_stalls.py
@@ -125,3 +125,22 @@
             )
     blamed = [bool(node.find('model', ['aa', 'request:1'])) for node in nodes]
     assert blamed == [not unsure_s] * 3
+
+
+@pytest.mark.parametrize('stood_still', [False, True])
+def test_report_that_a_stall_delayed_makes_no_second_moment(stood_still):
+    """Guards against reports that wait at a frozen node."""
+    clocks = [fake_clocks.ManualClock() for _ in range(2)]
+    sender, receiver = map(crash_quarantine.CrashQuarantine, clocks)
+    for number in (0, 1):
+        receiver.record_crash('model', (f'm{number}', 1), ['request:1'], 990.0)
+    sender.record_crash('model', ('m2', 1), ['request:1'], 990.0)
+    report = messages.NodeReport(
+        *('a', 'h', 80, False, (), (), (), (), 1),
+        crashes=sender.build_crashes(),
+    )
+    clocks[1].now_s += 0.45
+    if stood_still:
+        clocks[1].record_stall(clocks[1].now_s - 0.45)
+    receiver.merge_peer_report(report, clocks[1].boot_s(), 'n')
+    assert bool(receiver.find('model', ['request:1'])) is not stood_still
