Keep how uncertain an end is when a late report of it arrives

A report is dated by its arrival at the latest, so what it names as the earliest time of an end may be too late. Merged with what was known, it made the end certain and a second moment.

Change: of two reports of an end the one with the earlier date is kept, with its uncertainty.

Test: test_late_report_does_not_make_an_end_certain failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -116,15 +116,13 @@
             if known_s is None or sent_at_s > known_s + _ROUNDING_S:
                 sent_at_s_by_suspect[suspect_id] = sent_at_s
                 is_changed = True
-        at_s = min(known.at_s, crash.at_s)
-        earliest_s = max(
-            known.at_s - known.unsure_s, crash.at_s - crash.unsure_s
-        )
+        # Reports date a crash late, never early.
+        first = min(known, crash, key=lambda c: c.at_s)
         self.crash_by_instance[key] = Crash(
-            at_s,
+            first.at_s,
             sent_at_s_by_suspect,
             known.is_own or crash.is_own,
-            max(0.0, at_s - earliest_s),
+            first.unsure_s,
         )
         return is_changed
 
--- a/tests/cover/relay/test_stalls.py
+++ b/tests/cover/relay/test_stalls.py
@@ -144,3 +144,23 @@
         clocks[1].record_stall(clocks[1].now_s - 0.45)
     receiver.merge_peer_report(report, clocks[1].boot_s(), 'n')
     assert bool(receiver.find('model', ['request:1'])) is not stood_still
+
+
+def test_late_report_does_not_make_an_end_certain():
+    """Guards against a report that arrives late and names a short stall."""
+    clock = fake_clocks.ManualClock()
+    node = crash_quarantine.CrashQuarantine(clock)
+    node.record_crash('model', ('m0', 1), ['request:1'], 990.0)
+    clock.now_s += 0.35
+    for number in (1, 2):
+        node.record_crash(
+            'model', (f'm{number}', 1), ['request:1'], 990.0, unsure_s=0.3
+        )
+    report = messages.NodeReport(
+        *('a', 'h', 80, False, (), (), (), (), 1),
+        crashes=node.build_crashes(),
+    )
+    clock.now_s += 0.3
+    node.merge_peer_report(report, clock.now_s, 'n')
+    node.record_crash('model', ('m3', 1), ['request:2'], 990.0)
+    assert node.find('model', ['request:1']) is None
