Let one dispatcher use the rejections that brittle servers tolerate

Cause: the node asks the next dispatcher for 2 s, or chooses by itself. Both count rejections from zero, while the first dispatcher goes on for the other nodes with the whole bound.

Change: a node that is asked although it takes another live node for the dispatcher uses only places that a server has proved to have, and counts what all nodes report to be there. A node that chooses by itself leaves out servers that are 0.7 full by these reports.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -133,8 +133,16 @@
         self._exchange_client = exchange_client.ExchangeClient(
             self.gossip, self.addresses, clock, dialer
         )
+        selector = dispatcher_selector.DispatcherSelector(
+            self.identity, self.gossip.peers, clock
+        )
         self.dispatcher = dispatchers.Dispatcher(
-            view.servers, view.state, view.quarantine, view.loads, clock
+            view.servers,
+            view.state,
+            view.quarantine,
+            view.loads,
+            clock,
+            selector.is_substitute,
         )
         self._dispatch_client = dispatch_client.DispatchClient(dialer)
         # Peers of older releases close a connection on which they receive
@@ -157,9 +165,7 @@
             memory,
         )
         self.placer = request_placer.RequestPlacer(
-            dispatcher_selector.DispatcherSelector(
-                self.identity, self.gossip.peers, clock
-            ),
+            selector,
             self._dispatch_client,
             self.dispatcher,
             view.servers,
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/brittle_shares.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/brittle_shares.py
@@ -14,6 +14,9 @@
 from foxtailrelay_node.internal.relay.policy import placement_result
 from foxtailrelay_node.internal.relay.policy import reservation as reservations
 
+# Reports of load are a second old.
+_SAFE_SHARE = 0.7
+
 
 class BrittleShares:
     """Admits requests within this node's share of slots and rejections.
@@ -50,6 +53,10 @@
         for server in servers:
             share = self._selector.limit_share(server.id, bound_per_s)
             slots = math.floor(server.slots * share)
+            running = self._loads.view(server).running
+            # A dispatcher that is only slow fills the places meanwhile.
+            if running >= _SAFE_SHARE * server.slots:
+                continue
             if slots and self._admission.has_room(
                 server.instance_key,
                 slots,
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -90,6 +90,8 @@
         Load that this node and its peers have reported.
     clock : Clock
         Clock for reservations and overloads.
+    is_substitute : callable
+        Returns whether other nodes may use another dispatcher of a service.
     """
 
     def __init__(
@@ -99,8 +101,10 @@
         quarantine: crash_quarantine.CrashQuarantine,
         observed_loads: load_tracker.LoadTracker,
         clock: clocks.Clock,
+        is_substitute: typing.Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._servers = servers
+        self._is_substitute = is_substitute
         self._observed_loads = observed_loads
         self._state = state
         self._quarantine = quarantine
@@ -154,7 +158,7 @@
         if bound_per_s is not None:
             self._record_call(call.service)
         if bound_per_s is not None and accepting:
-            accepting = self._with_room(accepting, bound_per_s)
+            accepting = self._with_room(call.service, accepting, bound_per_s)
             if not accepting:
                 full = placement_result.NotPlaced(
                     brittle_admission.WHY, 0.0, True
@@ -261,11 +265,17 @@
 
     def _with_room(
         self,
+        service: str,
         servers: list[backend_server.BackendServer],
         bound_per_s: float,
     ) -> list[backend_server.BackendServer]:
-        """Return the brittle servers that probably accept a request."""
+        """Return the brittle servers that probably accept a request.
+
+        A dispatcher that only some nodes use, since another one was slow to
+        answer them, leaves the rejections that servers tolerate to that one.
+        """
         now_s = self._clock.boot_s()
+        may_try = not self._is_substitute(service)
         return [
             server
             for server in servers
@@ -275,18 +285,21 @@
                 self._running(server),
                 bound_per_s,
                 now_s,
+                may_try,
             )
         ]
 
     def _running(self, server: backend_server.BackendServer) -> int:
         """Return the requests at a server, also those placed by others.
 
-        A node that has just become the dispatcher knows the requests of before
-        only from the nodes' reports, which are a second old.
+        A node that has just become the dispatcher, or is one beside another,
+        knows these only from the nodes' reports, which are a second old.
         """
         running = self._loads.own_running(server)
         since_s = self._since_s_by_service.get(server.service, 0.0)
-        if self._clock.boot_s() - since_s < _START_S:
+        if self._clock.boot_s() - since_s < _START_S or self._is_substitute(
+            server.service
+        ):
             running = max(running, self._observed_loads.view(server).running)
         return running
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
@@ -49,12 +49,23 @@
     def choose(self, service: str) -> peer_table.PeerReport | None:
         """Return the dispatcher of a service; None if it is this node."""
         now_s = self._clock.boot_s()
-        peers = [
-            peer
-            for peer in self._peers.live()
-            if self._avoid_until_s_by_start_id.get(peer.start_id, now_s)
-            <= now_s
-        ]
+        return self._choose_among(
+            service,
+            [
+                peer
+                for peer in self._peers.live()
+                if self._avoid_until_s_by_start_id.get(peer.start_id, now_s)
+                <= now_s
+            ],
+        )
+
+    def is_substitute(self, service: str) -> bool:
+        """Whether others may use another dispatcher than this node."""
+        return self._choose_among(service, self._peers.live()) is not None
+
+    def _choose_among(
+        self, service: str, peers: list[peer_table.PeerReport]
+    ) -> peer_table.PeerReport | None:
         own_centicores = self._identity.centicores
         max_centicores = max(
             (peer.report.centicores for peer in peers), default=0
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/brittle_admission.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/brittle_admission.py
@@ -123,6 +123,7 @@
         running: int,
         bound_per_s: float,
         now_s: float,
+        may_try: bool = True,
     ) -> bool:
         """Whether a request may be sent to a server.
 
@@ -138,9 +139,15 @@
             Rejections per second that it tolerates.
         now_s : float
             Seconds since boot.
+        may_try : bool
+            Whether places may be used that the server has not proved to have.
         """
         state = self._state(key, running, now_s)
-        return running < slots and state.has_room(running, bound_per_s)
+        if running >= slots:
+            return False
+        if not may_try:
+            return state.is_safe(running)
+        return state.has_room(running, bound_per_s)
 
     def admit(self, key: ServerKey, running: int, now_s: float) -> Admission:
         """Record that a request is sent to a server."""
--- a/tests/cover/relay/test_brittle_servers.py
+++ b/tests/cover/relay/test_brittle_servers.py
@@ -1,6 +1,8 @@
 """One node's request path to servers that name a bound on rejections."""
 
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.dispatch import brittle_shares
+from foxtailrelay_node.internal.relay.dispatch import dispatcher
 from foxtailrelay_node.internal.relay.state import topic_store
 import trio
 
@@ -101,6 +103,47 @@
     assert answer.retry_after_ms > 0
 
 
+@relay_rig.with_rig
+async def test_dispatcher_beside_another_one_uses_only_safe_places(rig):
+    """Guards against LIMIT: each of two dispatchers uses the whole bound."""
+    rig.add_server('plain', 1, relay_rig.scripted_backend(), slots=4)
+    (server,) = rig.servers.usable('plain')
+    rig.servers.brittleness.record_answer(server, 2.0)
+    substitute = dispatcher.Dispatcher(
+        rig.servers,
+        rig.state,
+        rig.quarantine,
+        rig.loads,
+        rig.clock,
+        lambda service: True,
+    )
+    load = messages.ServerLoad('s1', 3, 0)
+    for _ in range(9):
+        rig.loads.record_peer_loads('n2', [load], 0.0)
+        assert not substitute.handle_call(_CALL).server
+        await trio.sleep(1.0)
+    rig.loads.record_peer_loads('n2', [load._replace(running=2)], 0.0)
+    assert substitute.handle_call(_CALL).server
+
+
+class _Selector:
+    def limit_share(self, server_id, limit_per_s):
+        return 0.5
+
+
+@relay_rig.with_rig
+async def test_node_without_a_dispatcher_uses_no_place_that_peers_use(rig):
+    """Guards against LIMIT while a dispatcher is slow to answer."""
+    rig.add_server('plain', 1, relay_rig.scripted_backend(), slots=4)
+    servers = rig.servers.usable('plain')
+    shares = brittle_shares.BrittleShares(rig.loads, rig.clock, _Selector())
+    load = messages.ServerLoad('s1', 3, 0)
+    rig.loads.record_peer_loads('n2', [load], 0.0)
+    assert not shares.with_room(servers, 2.0)
+    rig.loads.record_peer_loads('n2', [load._replace(running=2)], 0.0)
+    assert shares.with_room(servers, 2.0)
+
+
 @relay_rig.with_rig
 async def test_servers_that_replace_brittle_ones_are_not_overfilled(rig):
     """Guards against LIMIT after all servers have fallen over at once."""
