Keep a peer's quarantine beside another cause of crashes

Cause: a peer's verdict ended as soon as any suspect explained as many crashes here, also crashes that had nothing to do with it.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -357,6 +357,7 @@
                     not unaided
                     or suspect_id in unaided_ids
                     or unaided[0].crash_count < quarantine.crash_count
+                    or not records.are_explained(suspect_id, unaided_ids)
                 )
             else:
                 is_kept = suspect_id in proved_ids
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -127,6 +127,19 @@
             if quarantine.is_adopted
         }
 
+    def are_explained(
+        self, suspect_id: str, cause_ids: typing.AbstractSet[str]
+    ) -> bool:
+        """Whether causes were present at all known crashes of a suspect."""
+        found = [
+            crash.sent_at_s_by_suspect.keys()
+            for crash in self.crash_by_instance.values()
+            if suspect_id in crash.sent_at_s_by_suspect
+        ]
+        return bool(found) and not any(
+            cause_ids.isdisjoint(suspect_ids) for suspect_ids in found
+        )
+
     def probe_evidence(
         self, quarantine: quarantines.Quarantine
     ) -> quarantine_probes.Evidence:
--- a/tests/cover/relay/test_crash_quarantine.py
+++ b/tests/cover/relay/test_crash_quarantine.py
@@ -116,6 +116,24 @@
     assert quarantine.find('m', ['frequent']) is None
 
 
+def test_verdict_of_a_peer_holds_beside_another_cause():
+    """Guards against one of several causes that a new node lets through."""
+    clock = fake_clocks.ManualClock()
+    quarantine = crash_quarantine.CrashQuarantine(clock)
+    report = messages.NodeReport(
+        'a', 'h', 1, False, (), (), (), (),
+        quarantined_suspects=(
+            messages.QuarantinedSuspect('m', 'bad1', 3, 0, 600_000),
+        ),
+    )  # fmt: skip
+    quarantine.merge_peer_report(report, clock.now_s, 'n2')
+    for number in range(3):
+        clock.now_s += 1.0
+        _crash(quarantine, f's{number}', ('bad2',))
+    assert quarantine.find('m', ['bad2'])
+    assert quarantine.find('m', ['bad1'])
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_restarted_nodes_learn_the_part_from_their_peers(seed):
     fleet = _run_fleet(seed, 2.0, 1)
