Tell other nodes the ends of as long a time as they judge

Read in the code: a node asks its peers 1.5 s after an end and later, they told the ends of the last 12 s, and the rate was taken over 12 s before the end. So a seventh of the earlier ends was missing, and the steady ends of a busy server looked like a burst: each sound one cost a health check, and was broken where the server was full.

Change: peers tell the ends of 3 s more.

Result: test_signs_keep_their_times_on_the_way_to_another_node asks for the earlier end, and failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -14,6 +14,8 @@
 # Of the busiest servers in the time for which ends are counted.
 _MAX_ENDS = 400
 _MAX_PROCESSES = 1000
+# Another node asks up to this long after the end that it judges.
+_MAX_ASKED_AFTER_S = 3.0
 
 
 class AnswerUnderWay(typing.Protocol):
@@ -106,7 +108,7 @@
     ) -> messages.ProcessFound:
         """Return what this node has seen of a process, for another one."""
         signs = self.find(key, 0)
-        since_s = now_s - answer_end.ENDS_KEPT_S
+        since_s = now_s - answer_end.ENDS_KEPT_S - _MAX_ASKED_AFTER_S
         return messages.ProcessFound(
             _ages_ms(signs.ended_at_s, since_s, now_s),
             _ages_ms(signs.cut_at_s, since_s, now_s),
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -73,11 +73,13 @@
     table = process_signs.ProcessSignsTable()
     table.record_end(_KEY, 1, 98.0)
     table.record_end(_KEY, 2, 80.0)
+    table.record_end(_KEY, 3, 86.5)
     table.record_cut(_KEY, 99.5)
     table.record_lost(_KEY, 99.0)
     sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
     signs = process_signs.from_peer(sent, 50.0)
-    assert signs.ended_at_s == [48.0]
+    # Asked 1.5 s after an end, the other node sees 12 s before it.
+    assert signs.ended_at_s == [48.0, 36.5]
     assert list(signs.cut_at_s) == [49.5]
     assert signs.lost_at_s == 49.0
     assert signs.begun_at_s < 0
