Date what begins at other nodes at the earliest that it may have

Read in the code: ages are as of the peer's answer, and were taken from its receipt, up to 0.25 s later. An answer that was begun up to 0.25 s before an end seemed to have been begun after it, so that an ending process seemed to serve on and a cut answer looked whole.

Change: the age of a beginning is taken from when the peer was asked.

Result: test_slow_answer_of_another_node_makes_no_beginning_later; taken from the receipt as before, 11.7 - 1.6 = 10.1 is after the end at 10.0.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -151,18 +151,24 @@
 
 
 def from_peer(
-    found: messages.ProcessFound, now_s: float
+    found: messages.ProcessFound, asked_at_s: float, now_s: float
 ) -> answer_end.ProcessSigns:
-    """Return the signs that another node has just described."""
+    """Return the signs that another node has described since it was asked.
 
-    def times_s(ages_ms: typing.Sequence[int]) -> list[float]:
-        return [now_s - age_ms / 1000 for age_ms in ages_ms]
+    A beginning counts as early as it may have been, since it is what shows
+    that a process serves on.
+    """
+
+    def times_s(
+        ages_ms: typing.Sequence[int], told_at_s: float = now_s
+    ) -> list[float]:
+        return [told_at_s - age_ms / 1000 for age_ms in ages_ms]
 
     return answer_end.ProcessSigns(
         -math.inf,
         max(times_s(found.lost_ages_ms), default=-math.inf),
         times_s(found.ended_ages_ms),
-        max(times_s(found.begun_ages_ms), default=-math.inf),
+        max(times_s(found.begun_ages_ms, asked_at_s), default=-math.inf),
         times_s(found.cut_ages_ms),
     )
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -68,12 +68,15 @@
         found: list[answer_end.ProcessSigns] = []
 
         async def ask(address: address_book.PeerAddress) -> None:
+            asked_at_s = self._clock.boot_s()
             answer = await self._client.request(
                 address, messages.ProcessQuery(*key), _QUERY_TIMEOUT_S
             )
             if isinstance(answer, messages.ProcessFound):
                 now_s = self._clock.boot_s()
-                found.append(process_signs.from_peer(answer, now_s))
+                found.append(
+                    process_signs.from_peer(answer, asked_at_s, now_s)
+                )
 
         async with trio.open_nursery() as nursery:
             for address in self._choose(key[0]):
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -77,7 +77,7 @@
     table.record_cut(_KEY, 99.5)
     table.record_lost(_KEY, 99.0)
     sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
-    signs = process_signs.from_peer(sent, 50.0)
+    signs = process_signs.from_peer(sent, 50.0, 50.0)
     # Asked 1.5 s after an end, the other node sees 12 s before it.
     assert signs.ended_at_s == [48.0, 36.5]
     assert list(signs.cut_at_s) == [49.5]
@@ -85,6 +85,13 @@
     assert signs.begun_at_s < 0
 
 
+def test_slow_answer_of_another_node_makes_no_beginning_later():
+    """Guards against a beginning before an end that seems to follow it."""
+    found = messages.ProcessFound(begun_ages_ms=(1600,))
+    signs = process_signs.from_peer(found, asked_at_s=11.5, now_s=11.7)
+    assert signs.begun_at_s <= _END.ended_at_s
+
+
 @relay_rig.with_rig
 async def test_node_tells_its_signs_over_a_connection(rig):
     server = exchange_server.ExchangeServer(
