Ask other nodes and health checks within the caller's time

Found by reading: once half of the time before the deadline had been waited, the peers were asked for 0.25 s and the process for its health for 0.4 s, whatever was left. With one frozen peer, a sound answer without a length that ended 0.4 s before its deadline was a 504.

Change: both take at most half of the time that is left.

Result: test_frozen_node_does_not_hold_an_answer_past_its_deadline, which failed before for streams and plain answers (504).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -88,7 +88,7 @@
             verdict = await self._wait_for_verdict(end)
             if isinstance(verdict, answer_end.EndVerdict):
                 if verdict.is_doubt:
-                    verdict = await self._resolve_doubt(verdict)
+                    verdict = await self._resolve_doubt(end, verdict)
                 self._progress.end_proof = verdict.value
                 self._count(verdict.name)
                 return verdict
@@ -149,7 +149,9 @@
         self, end: answer_end.AnswerEnd, lived_at_s: float
     ) -> answer_end.EndVerdict | str:
         signs = await self._context.prover.peer_signs.find(
-            self._server.instance_key, self._progress.answer_number
+            self._server.instance_key,
+            self._progress.answer_number,
+            end.ask_within_s(self._context.now_s()),
         )
         verdict = answer_end.judge(end, signs._replace(lived_at_s=lived_at_s))
         if verdict is answer_end.EndVerdict.LOST:
@@ -157,7 +159,7 @@
         return verdict
 
     async def _resolve_doubt(
-        self, verdict: answer_end.EndVerdict
+        self, end: answer_end.AnswerEnd, verdict: answer_end.EndVerdict
     ) -> answer_end.EndVerdict:
         """Ask the process whether it is healthy, if the service allows it."""
         servers = self._context.servers
@@ -169,7 +171,9 @@
         path = self._context.state.health_path(self._server.service)
         if not path:
             return verdict
-        check = await self._context.prover.health.check(self._server, path)
+        check = await self._context.prover.health.check(
+            self._server, path, end.ask_within_s(self._context.now_s())
+        )
         if (
             check is health_check.HealthCheck.HEALTHY
             and verdict is answer_end.EndVerdict.COINCIDENT
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -45,11 +45,14 @@
         self._numbers = itertools.count(1)
 
     async def check(
-        self, server: backend_server.BackendServer, path: str
+        self,
+        server: backend_server.BackendServer,
+        path: str,
+        within_s: float,
     ) -> health_check.HealthCheck:
         """Ask a server until it answers and is not full."""
         found = _UNKNOWN
-        with trio.move_on_after(_TIMEOUT_S):
+        with trio.move_on_after(min(_TIMEOUT_S, within_s)):
             while True:
                 found = await self._check_once(server, path)
                 if found is not _UNKNOWN:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -54,7 +54,7 @@
         )
 
     async def find(
-        self, key: tuple[str, int], number: int
+        self, key: tuple[str, int], number: int, within_s: float
     ) -> answer_end.ProcessSigns:
         """Return the signs of a process that this and other nodes have seen.
 
@@ -64,13 +64,16 @@
             Id and start of the instance.
         number : int
             The answer at this node whose own signs are left out.
+        within_s : float
+            For how long the caller of that answer can wait.
         """
         found: list[answer_end.ProcessSigns] = []
+        timeout_s = min(_QUERY_TIMEOUT_S, within_s)
 
         async def ask(address: address_book.PeerAddress) -> None:
             asked_at_s = self._clock.boot_s()
             answer = await self._client.request(
-                address, messages.ProcessQuery(*key), _QUERY_TIMEOUT_S
+                address, messages.ProcessQuery(*key), timeout_s
             )
             if isinstance(answer, messages.ProcessFound):
                 now_s = self._clock.boot_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -92,6 +92,10 @@
         left_s = self.deadline_s - self.ended_at_s
         return min(_MAX_CONFIRM_S, max(0.0, _CONFIRM_SHARE * left_s))
 
+    def ask_within_s(self, now_s: float) -> float:
+        """Return how long others may be asked, in seconds."""
+        return max(0.0, _CONFIRM_SHARE * (self.deadline_s - now_s))
+
     def before(self, deadline_s: float) -> 'AnswerEnd':
         """Return the same end with no later deadline than this."""
         return self._replace(deadline_s=min(self.deadline_s, deadline_s))
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -111,6 +111,33 @@
     assert answer == messages.ProcessFound((500,))
 
 
+@pytest.mark.parametrize('path', ['/stream/x', '/once/x'])
+def test_frozen_node_does_not_hold_an_answer_past_its_deadline(path):
+    """Guards against sound answers that are lost to a question."""
+
+    async def play(rig):
+        report = messages.NodeReport(
+            'a', '10.9.0.2', 80, False, (), (), (), (), 1
+        )
+        rig.table.merge_report(
+            messages.ReportCopy('n2', 1, 1, 0, messages.encode_report(report))
+        )
+        rig.dialer.backend_by_host['10.9.0.2'] = lambda _: trio.sleep(9.0)
+        rig.confirm_configuration(relay_rig.encode_configuration())
+        gate = trio.Event()
+        gate.set()
+        service = 'plain' if path == '/once/x' else 'model'
+        rig.add_server(service, 1, _close_together(gate, b''))
+        caller = rig.connect()
+        await caller.send(
+            path, *_PROMPT, 'Connection: close', 'Deadline-Ms: 400'
+        )
+        (answer,) = answer_reader.read_answers(await caller.receive_all())
+        assert answer.status == 200 and answer.is_whole
+
+    relay_rig.with_rig(play)()
+
+
 def _close_together(gate, health):
     """Return a backend whose streams end together, and its health."""
 
