Doubt ends at one moment also if no answer has begun since

Read in the code: ends that are a burst were looked at only where the process had begun an answer since. Without one, which is more of a sign, 200 from another worker told all ends, and a process that had announced that it leaves was believed without a question, also at its end, when it closes all its connections at once. An announced end after which answers were begun was asked for its health, says no, and its sound answers were broken.

Change: bursts are looked at first; a process that has announced its end is not asked for its health, and in a burst another server is asked for what follows.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -163,11 +163,14 @@
     ) -> answer_end.EndVerdict:
         """Ask the process whether it is healthy, if the service allows it."""
         servers = self._context.servers
-        if verdict is answer_end.EndVerdict.UNCONFIRMED and (
-            servers.has_announced_end(self._server)
-            or not servers.is_listed(self._server)
-        ):
+        is_leaving = servers.has_announced_end(
+            self._server
+        ) or not servers.is_listed(self._server)
+        if is_leaving and verdict is answer_end.EndVerdict.UNCONFIRMED:
             return answer_end.EndVerdict.LEAVING
+        if is_leaving:
+            # Its health check says nothing else.
+            return verdict
         path = self._context.state.health_path(self._server.service)
         if not path:
             return verdict
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -171,13 +171,13 @@
     if signs.lived_at_s < end.ended_at_s + end.confirm_s:
         return EndVerdict.PENDING
     ended_ago_s = [end.ended_at_s - at_s for at_s in signs.ended_at_s]
+    if is_burst(ended_ago_s, end.ended_at_s - signs.since_s):
+        return EndVerdict.COINCIDENT
     # A process that ends may go on with answers for a while, but begins none.
     if signs.begun_at_s <= end.ended_at_s and any(
         ago_s <= _MAX_CONFIRM_S for ago_s in ended_ago_s
     ):
         return EndVerdict.UNCONFIRMED
-    if is_burst(ended_ago_s, end.ended_at_s - signs.since_s):
-        return EndVerdict.COINCIDENT
     return EndVerdict.WHOLE
 
 
--- a/tests/cover/relay/test_answer_end.py
+++ b/tests/cover/relay/test_answer_end.py
@@ -63,6 +63,7 @@
         (_signs(ended=[9.0], begun_at_s=10.2), _Verdict.WHOLE),
         (_signs(ended=[9.0], begun_at_s=9.8), _Verdict.UNCONFIRMED),
         (_signs(ended=[10.01], begun_at_s=10.2), _Verdict.COINCIDENT),
+        (_signs(ended=[10.01]), _Verdict.COINCIDENT),
         (_signs(begun_at_s=9.8), _Verdict.WHOLE),
         (_signs(cut=[9.95]), _Verdict.LOST),
         (_signs(cut=[10.05], begun_at_s=10.2), _Verdict.LOST),
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -167,12 +167,18 @@
 
 @pytest.mark.parametrize('path', ['/stream/x', '/resume/x', '/once/x'])
 @pytest.mark.parametrize(
-    ('health', 'is_whole'),
-    [(_HEALTHY, True), (_LEAVING, False), (_FULL, False), (_FOREIGN, False)],
-    ids=['healthy', 'leaving', 'full', 'foreign'],
+    ('health', 'state', 'is_whole'),
+    [
+        (_HEALTHY, 'ready', True),
+        (_LEAVING, 'ready', False),
+        (_LEAVING, 'draining', True),
+        (_FULL, 'ready', False),
+        (_FOREIGN, 'ready', False),
+    ],
+    ids=['healthy', 'ending', 'announced', 'full', 'foreign'],
 )
 def test_answers_that_end_together_are_whole_if_their_process_is_healthy(
-    path, health, is_whole
+    path, health, state, is_whole
 ):
     """Guards against a process that ends its answers and reports on."""
 
@@ -187,7 +193,8 @@
         )
         gate = trio.Event()
         service = 'plain' if path == '/once/x' else 'model'
-        rig.add_server(service, 1, _close_together(gate, health))
+        serve = _close_together(gate, health)
+        rig.add_server(service, 1, serve)
         answers = []
 
         async def call(name):
@@ -203,6 +210,7 @@
             for number in range(3):
                 nursery.start_soon(call, f'r{number}')
             await trio.sleep(0.5)
+            rig.add_server(service, 1, serve, state=state)
             gate.set()
         assert [a.status == 200 and a.is_whole for a in answers] == (
             [is_whole] * 3
--- a/tests/cover/relay/test_unconfirmed_ends.py
+++ b/tests/cover/relay/test_unconfirmed_ends.py
@@ -44,7 +44,7 @@
     return serve
 
 
-async def _end_together(rig, backend, *headers):
+async def _end_together(rig, backend, *headers, state='ready'):
     """Return the answers of two streams that end together."""
     rig.add_server('model', 1, _end_after_two)
     answers = []
@@ -65,6 +65,7 @@
         for name in ('r1', 'r2'):
             nursery.start_soon(call, name)
         await trio.sleep(0.05)
+        rig.add_server('model', 1, _end_after_two, state=state)
         rig.add_server('model', 2, backend)
     return answers
 
@@ -88,6 +89,20 @@
     relay_rig.with_rig(play)()
 
 
+@relay_rig.with_rig
+async def test_streams_that_a_leaving_server_ends_at_once_go_on(rig):
+    """Guards against the end of a server that has announced it."""
+    rig.add_server('model', 1, _end_after_two)
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    await caller.receive_all()
+    await trio.sleep(12.0)
+    rig.confirm_configuration(relay_rig.encode_configuration())
+    backend = _answer_with(relay_rig.encode_event(3))
+    for answer in await _end_together(rig, backend, state='draining'):
+        assert b'id: 3' in answer.body and answer.is_whole
+
+
 @relay_rig.with_rig
 async def test_comment_of_another_server_does_not_refute_an_end(rig):
     for answer in await _end_together(rig, _answer_with(b': wait\n\n')):
