--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -92,6 +92,10 @@
         left_s = self.deadline_s - self.ended_at_s
         return min(_MAX_CONFIRM_S, max(0.0, _CONFIRM_SHARE * left_s))
 
+    def ask_within_s(self, now_s: float) -> float:
+        """Return how long others may be asked, in seconds."""
+        return max(0.0, _CONFIRM_SHARE * (self.deadline_s - now_s))
+
     def before(self, deadline_s: float) -> 'AnswerEnd':
         """Return the same end with no later deadline than this."""
         return self._replace(deadline_s=min(self.deadline_s, deadline_s))
@@ -167,13 +171,13 @@
     if signs.lived_at_s < end.ended_at_s + end.confirm_s:
         return EndVerdict.PENDING
     ended_ago_s = [end.ended_at_s - at_s for at_s in signs.ended_at_s]
+    if is_burst(ended_ago_s, end.ended_at_s - signs.since_s):
+        return EndVerdict.COINCIDENT
     # A process that ends may go on with answers for a while, but begins none.
     if signs.begun_at_s <= end.ended_at_s and any(
         ago_s <= _MAX_CONFIRM_S for ago_s in ended_ago_s
     ):
         return EndVerdict.UNCONFIRMED
-    if is_burst(ended_ago_s, end.ended_at_s - signs.since_s):
-        return EndVerdict.COINCIDENT
     return EndVerdict.WHOLE
 
 
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -73,16 +73,25 @@
     table = process_signs.ProcessSignsTable()
     table.record_end(_KEY, 1, 98.0)
     table.record_end(_KEY, 2, 80.0)
+    table.record_end(_KEY, 3, 86.5)
     table.record_cut(_KEY, 99.5)
     table.record_lost(_KEY, 99.0)
     sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
-    signs = process_signs.from_peer(sent, 50.0)
-    assert signs.ended_at_s == [48.0]
+    signs = process_signs.from_peer(sent, 50.0, 50.0)
+    # Asked 1.5 s after an end, the other node sees 12 s before it.
+    assert signs.ended_at_s == [48.0, 36.5]
     assert list(signs.cut_at_s) == [49.5]
     assert signs.lost_at_s == 49.0
     assert signs.begun_at_s < 0
 
 
+def test_slow_answer_of_another_node_makes_no_beginning_later():
+    """Guards against a beginning before an end that seems to follow it."""
+    found = messages.ProcessFound(begun_ages_ms=(1600,))
+    signs = process_signs.from_peer(found, asked_at_s=11.5, now_s=11.7)
+    assert signs.begun_at_s <= _END.ended_at_s
+
+
 @relay_rig.with_rig
 async def test_node_tells_its_signs_over_a_connection(rig):
     server = exchange_server.ExchangeServer(
@@ -102,6 +111,33 @@
     assert answer == messages.ProcessFound((500,))
 
 
+@pytest.mark.parametrize('path', ['/stream/x', '/once/x'])
+def test_frozen_node_does_not_hold_an_answer_past_its_deadline(path):
+    """Guards against sound answers that are lost to a question."""
+
+    async def play(rig):
+        report = messages.NodeReport(
+            'a', '10.9.0.2', 80, False, (), (), (), (), 1
+        )
+        rig.table.merge_report(
+            messages.ReportCopy('n2', 1, 1, 0, messages.encode_report(report))
+        )
+        rig.dialer.backend_by_host['10.9.0.2'] = lambda _: trio.sleep(9.0)
+        rig.confirm_configuration(relay_rig.encode_configuration())
+        gate = trio.Event()
+        gate.set()
+        service = 'plain' if path == '/once/x' else 'model'
+        rig.add_server(service, 1, _close_together(gate, b''))
+        caller = rig.connect()
+        await caller.send(
+            path, *_PROMPT, 'Connection: close', 'Deadline-Ms: 400'
+        )
+        (answer,) = answer_reader.read_answers(await caller.receive_all())
+        assert answer.status == 200 and answer.is_whole
+
+    relay_rig.with_rig(play)()
+
+
 def _close_together(gate, health):
     """Return a backend whose streams end together, and its health."""
 
@@ -131,12 +167,18 @@
 
 @pytest.mark.parametrize('path', ['/stream/x', '/resume/x', '/once/x'])
 @pytest.mark.parametrize(
-    ('health', 'is_whole'),
-    [(_HEALTHY, True), (_LEAVING, False), (_FULL, False), (_FOREIGN, False)],
-    ids=['healthy', 'leaving', 'full', 'foreign'],
+    ('health', 'state', 'is_whole'),
+    [
+        (_HEALTHY, 'ready', True),
+        (_LEAVING, 'ready', False),
+        (_LEAVING, 'draining', True),
+        (_FULL, 'ready', False),
+        (_FOREIGN, 'ready', False),
+    ],
+    ids=['healthy', 'ending', 'announced', 'full', 'foreign'],
 )
 def test_answers_that_end_together_are_whole_if_their_process_is_healthy(
-    path, health, is_whole
+    path, health, state, is_whole
 ):
     """Guards against a process that ends its answers and reports on."""
 
@@ -151,7 +193,8 @@
         )
         gate = trio.Event()
         service = 'plain' if path == '/once/x' else 'model'
-        rig.add_server(service, 1, _close_together(gate, health))
+        serve = _close_together(gate, health)
+        rig.add_server(service, 1, serve)
         answers = []
 
         async def call(name):
@@ -167,6 +210,7 @@
             for number in range(3):
                 nursery.start_soon(call, f'r{number}')
             await trio.sleep(0.5)
+            rig.add_server(service, 1, serve, state=state)
             gate.set()
         assert [a.status == 200 and a.is_whole for a in answers] == (
             [is_whole] * 3
