Count the beginnings of plain answers as signs of their process

Found by reading: only answers with events counted as begun. So each plain answer without a length that ended within 1.5 s of another was in doubt, however many the process had begun since: each cost a health check and a slot of the server, and was a 502 where the server was full.

Change: the first part of a plain answer of success counts as its beginning.

Result: test_plain_answers_that_end_steadily_take_no_health_checks, which failed before (502).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -90,6 +90,11 @@
         body = bytearray()
         lease = self._open_lease()
         while (part := await self._backend.receive_part()) is not None:
+            if head.is_success and not body:
+                self._context.prover.signs.record_begun(
+                    self._placed.view.server.instance_key,
+                    self._progress.attempt_sent_at_s,
+                )
             has_room = lease.try_hold(len(part))
             body += part
             if has_room and len(body) <= _MAX_COLLECTED_BYTES:
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -81,6 +81,11 @@
             signs.begun_at_s = max(signs.begun_at_s, _find_begin_s(answer))
             signs.under_way_by_number.pop(number, None)
 
+    def record_begun(self, key: tuple[str, int], sent_at_s: float) -> None:
+        """Record that an answer without events has begun."""
+        signs = self._get(key)
+        signs.begun_at_s = max(signs.begun_at_s, sent_at_s)
+
     def record_end(
         self, key: tuple[str, int], number: int, at_s: float
     ) -> None:
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -217,3 +217,30 @@
         )
 
     relay_rig.with_rig(play)()
+
+
+@relay_rig.with_rig
+async def test_plain_answers_that_end_steadily_take_no_health_checks(rig):
+    """Guards against a health check, and a slot, for each plain answer."""
+    fields = relay_rig.decoded_configuration()
+    for service in fields['services']:
+        service['health-path'] = '/health'
+    rig.confirm_configuration(
+        relay_rig.encode_configuration(version=8, services=fields['services'])
+    )
+    gate = trio.Event()
+    gate.set()
+    rig.add_server('plain', 1, _close_together(gate, _FULL))
+    answers = []
+
+    async def call(number):
+        await trio.sleep(0.7 * number)
+        caller = rig.connect()
+        await caller.send('/once/x', request_id=f'r{number}')
+        answers.append(await caller.receive())
+
+    async with trio.open_nursery() as nursery:
+        for number in range(7):
+            nursery.start_soon(call, number)
+    # None has begun since the end of the last one.
+    assert [relay_rig.status_code(a) for a in answers[:6]] == [200] * 6
