Share a health check between answers that end together

Read in the code: each answer in doubt asked for health by itself, up to seven times in 0.4 s, and checks take slots. So the answers of a sound server that end at one moment asked it all at once, took its places from requests and from each other, and those refused were broken.

Change: an answer takes the result of a check that is under way if that began after the time for which its process had to live on.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -175,7 +175,10 @@
         if not path:
             return verdict
         check = await self._context.prover.health.check(
-            self._server, path, end.ask_within_s(self._context.now_s())
+            self._server,
+            path,
+            end.ended_at_s + end.confirm_s,
+            end.ask_within_s(self._context.now_s()),
         )
         if (
             check is health_check.HealthCheck.HEALTHY
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -118,7 +118,7 @@
         self.signs = signs.table
         self.peer_signs = signs
         self.health = health_prober.HealthProber(
-            dialer, report_format, metrics
+            dialer, report_format, metrics, clock
         )
         self.workers = worker_watch.WorkerWatch(
             dialer, self._ask, self.signs, clock
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,6 +1,7 @@
 """What other nodes and health checks show of the end of an answer."""
 
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import address_book
@@ -219,6 +220,37 @@
     relay_rig.with_rig(play)()
 
 
+@relay_rig.with_rig
+async def test_answers_that_end_together_share_a_health_check(rig):
+    """Guards against checks that take all places of a server."""
+    asked = []
+
+    async def serve(stream):
+        if await relay_rig.read_request(stream):
+            asked.append(trio.current_time())
+            await trio.sleep(0.1)
+            await stream.send_all(_HEALTHY)
+
+    rig.add_server('plain', 1, serve)
+    (server,) = rig.servers.usable('plain')
+    found = []
+
+    async def check(due_s):
+        found.append(
+            await rig.prover.health.check(server, '/health', due_s, 1.0)
+        )
+
+    now_s = rig.clock.boot_s()
+    async with trio.open_nursery() as nursery:
+        for _ in range(9):
+            nursery.start_soon(check, now_s)
+        await trio.sleep(0.05)
+        # One that began before this time shows nothing.
+        nursery.start_soon(check, now_s + 0.04)
+    assert len(asked) == 2
+    assert found == [health_check.HealthCheck.HEALTHY] * 10
+
+
 @relay_rig.with_rig
 async def test_plain_answers_that_end_steadily_take_no_health_checks(rig):
     """Guards against a health check, and a slot, for each plain answer."""
