Read a bounded number of signs from another node

Measured alone in a process: a message with 1000000 ages took 0.9 s to read and judge, in which the node answers nobody; messages may be that long.

Change: the latest 400 of each kind are read, as many as nodes keep.

Result: test_few_of_many_signs_of_another_node_are_read, which failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -167,7 +167,7 @@
     def times_s(
         ages_ms: typing.Sequence[int], told_at_s: float = now_s
     ) -> list[float]:
-        return [told_at_s - age_ms / 1000 for age_ms in ages_ms]
+        return [told_at_s - age_ms / 1000 for age_ms in ages_ms[-_MAX_ENDS:]]
 
     return answer_end.ProcessSigns(
         -math.inf,
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -86,6 +86,14 @@
     assert signs.begun_at_s < 0
 
 
+def test_few_of_many_signs_of_another_node_are_read():
+    """Guards against a message that takes a node a second."""
+    told = messages.ProcessFound(ended_ages_ms=tuple(range(50_000, 0, -1)))
+    sent = messages.decode(messages.encode(1, told))[1]
+    ended_at_s = process_signs.from_peer(sent, 50.0, 50.0).ended_at_s
+    assert len(ended_at_s) < 1000 and max(ended_at_s) == 49.999
+
+
 def test_slow_answer_of_another_node_makes_no_beginning_later():
     """Guards against a beginning before an end that seems to follow it."""
     found = messages.ProcessFound(begun_ages_ms=(1600,))
