Choose the nodes that are asked about a process at the end

Read in the code: in clusters of more than 12 nodes those with most requests at the server are asked, by their latest reports, 1.5 s after the end. By then nodes report that the requests which ended with this one are gone, so that any 11 were asked and a burst was not seen.

Change: they are chosen when the end is received.

Result: test_nodes_that_had_requests_at_the_end_are_asked, with 59 peers, which failed before (11 without requests were asked).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import instance_report
+from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.policy import answer_end
 
 _LOG = logbook.Logger('foxtailrelay.requests')
@@ -118,6 +119,7 @@
         """Wait until it is certain that the process has lived on, or not."""
         context, key = self._context, self._server.instance_key
         lived_at_s = end.ended_at_s
+        peers = context.prover.peer_signs.choose(self._server.id)
         while True:
             now_s = context.now_s()
             stop = context.state.stop
@@ -134,7 +136,7 @@
             if verdict is answer_end.EndVerdict.LOST:
                 return verdict.value
             if verdict is not answer_end.EndVerdict.PENDING:
-                return await self._judge_with_peers(end, lived_at_s)
+                return await self._judge_with_peers(end, lived_at_s, peers)
             if now_s >= due_s:
                 doubt = await self._find_doubt(is_last=True)
                 if doubt:
@@ -146,11 +148,15 @@
                 await trio.sleep(min(_POLL_INTERVAL_S, due_s - now_s))
 
     async def _judge_with_peers(
-        self, end: answer_end.AnswerEnd, lived_at_s: float
+        self,
+        end: answer_end.AnswerEnd,
+        lived_at_s: float,
+        peers: typing.Iterable[address_book.PeerAddress],
     ) -> answer_end.EndVerdict | str:
         signs = await self._context.prover.peer_signs.find(
             self._server.instance_key,
             self._progress.answer_number,
+            peers,
             end.ask_within_s(self._context.now_s()),
         )
         verdict = answer_end.judge(end, signs._replace(lived_at_s=lived_at_s))
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -1,5 +1,7 @@
 """What other nodes see of the processes of backend servers."""
 
+import typing
+
 from foxtailrelay_core import messages
 import trio
 
@@ -54,7 +56,11 @@
         )
 
     async def find(
-        self, key: tuple[str, int], number: int, within_s: float
+        self,
+        key: tuple[str, int],
+        number: int,
+        addresses: typing.Iterable[address_book.PeerAddress],
+        within_s: float,
     ) -> answer_end.ProcessSigns:
         """Return the signs of a process that this and other nodes have seen.
 
@@ -64,6 +70,8 @@
             Id and start of the instance.
         number : int
             The answer at this node whose own signs are left out.
+        addresses : iterable of PeerAddress
+            The nodes that are asked.
         within_s : float
             For how long the caller of that answer can wait.
         """
@@ -82,15 +90,19 @@
                 )
 
         async with trio.open_nursery() as nursery:
-            for address in self._choose(key[0]):
+            for address in addresses:
                 nursery.start_soon(ask, address)
         signs = self.table.find(key, number)
         for peer in found:
             signs = signs.merge(peer)
         return signs
 
-    def _choose(self, server_id: str) -> list[address_book.PeerAddress]:
-        """Return the peers to ask, those with most requests there first."""
+    def choose(self, server_id: str) -> list[address_book.PeerAddress]:
+        """Return the peers to ask, those with most requests there first.
+
+        To be called at an end: once a process has ended its answers, no node
+        reports that it has requests there.
+        """
 
         def running(peer: peer_table.PeerReport) -> int:
             return sum(
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,5 +1,7 @@
 """What other nodes and health checks show of the end of an answer."""
 
+import functools
+
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import process_signs
@@ -168,6 +170,41 @@
     return serve
 
 
+@relay_rig.with_rig
+async def test_nodes_that_had_requests_at_the_end_are_asked(rig):
+    """Guards against large clusters whose nodes report the end first."""
+    asked = []
+
+    def report(number, sequence, running):
+        host = f'10.9.1.{number}'
+        load = messages.ServerLoad('s1', running, 0)
+        body = messages.encode_report(
+            messages.NodeReport('a', host, 80, False, (load,), (), (), (), 1)
+        )
+        rig.dialer.backend_by_host[host] = functools.partial(listen, number)
+        rig.table.merge_report(
+            messages.ReportCopy(f'm{number}', 1, sequence, 0, body)
+        )
+
+    async def listen(number, stream):
+        asked.append(number)
+        await trio.sleep_forever()
+
+    rig.confirm_configuration(relay_rig.encode_configuration())
+    gate = trio.Event()
+    gate.set()
+    rig.add_server('model', 1, _close_together(gate, b''))
+    for number in range(1, 60):
+        report(number, 1, int(number > 48))
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    await trio.sleep(1.0)
+    for number in range(1, 60):
+        report(number, 2, 0)
+    await caller.receive_all()
+    assert sorted(asked) == list(range(49, 60))
+
+
 _HEALTHY = b'HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nContent-Length: 0\r\n\r\n'
 _LEAVING = _HEALTHY.replace(b'200 OK', b'503 Ending')
 _FULL = _LEAVING.replace(b'Instance', b'Not-Executed: 1\r\nInstance')
