Ask leaving nodes too what they saw of a process

Read in the code: a node that has got SIGTERM goes on with its answers and serves its peers for its grace, and was not asked, though its answers ended with the one in doubt; in a release each node leaves once.

Change: leaving nodes that had requests at the server are asked.

Result: test_nodes_that_had_requests_at_the_end_are_asked, four of whose nodes are leaving now; it failed before (4 nodes without requests were asked).

--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -111,7 +111,13 @@
                 if load.server == server_id
             )
 
-        peers = sorted(self._peers.live(), key=running, reverse=True)
+        peers = [
+            peer
+            for peer in self._peers.reporting()
+            # A node that leaves ends the answers that it has begun.
+            if running(peer) or not peer.report.is_leaving
+        ]
+        peers.sort(key=running, reverse=True)
         return [
             address_book.PeerAddress(peer.report.host, peer.report.peer_port)
             for peer in peers[:_MAX_PEERS]
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_table.py
@@ -134,11 +134,15 @@
 
     def is_reporting(self, node_id: str) -> bool:
         """Whether a node is live, leaving or not."""
-        reports = {peer.copy.node_id: peer for peer in self.all()}
+        return any(p.copy.node_id == node_id for p in self.reporting())
+
+    def reporting(self) -> list[PeerReport]:
+        """Return the reports of live nodes, leaving or not."""
+        reports = self.all()
         oldest_s = self._clock.boot_s() - gossip_params.report_timeout_s(
             len(reports)
         )
-        return node_id in reports and reports[node_id].made_at_s >= oldest_s
+        return [report for report in reports if report.made_at_s >= oldest_s]
 
     def all(self) -> list[PeerReport]:
         """Return all retained reports."""
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -172,14 +172,19 @@
 
 @relay_rig.with_rig
 async def test_nodes_that_had_requests_at_the_end_are_asked(rig):
-    """Guards against large clusters whose nodes report the end first."""
+    """Guards against large clusters whose nodes report the end first.
+
+    Some of the nodes are leaving.
+    """
     asked = []
 
     def report(number, sequence, running):
         host = f'10.9.1.{number}'
         load = messages.ServerLoad('s1', running, 0)
         body = messages.encode_report(
-            messages.NodeReport('a', host, 80, False, (load,), (), (), (), 1)
+            messages.NodeReport(
+                'a', host, 80, number > 55, (load,), (), (), (), 1
+            )
         )
         rig.dialer.backend_by_host[host] = functools.partial(listen, number)
         rig.table.merge_report(
