--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,6 +1,9 @@
 """What other nodes and health checks show of the end of an answer."""
 
+import functools
+
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import process_signs
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import address_book
@@ -85,6 +88,14 @@
     assert signs.begun_at_s < 0
 
 
+def test_few_of_many_signs_of_another_node_are_read():
+    """Guards against a message that takes a node a second."""
+    told = messages.ProcessFound(ended_ages_ms=tuple(range(50_000, 0, -1)))
+    sent = messages.decode(messages.encode(1, told))[1]
+    ended_at_s = process_signs.from_peer(sent, 50.0, 50.0).ended_at_s
+    assert len(ended_at_s) < 1000 and max(ended_at_s) == 49.999
+
+
 def test_slow_answer_of_another_node_makes_no_beginning_later():
     """Guards against a beginning before an end that seems to follow it."""
     found = messages.ProcessFound(begun_ages_ms=(1600,))
@@ -159,6 +170,46 @@
     return serve
 
 
+@relay_rig.with_rig
+async def test_nodes_that_had_requests_at_the_end_are_asked(rig):
+    """Guards against large clusters whose nodes report the end first.
+
+    Some of the nodes are leaving.
+    """
+    asked = []
+
+    def report(number, sequence, running):
+        host = f'10.9.1.{number}'
+        load = messages.ServerLoad('s1', running, 0)
+        body = messages.encode_report(
+            messages.NodeReport(
+                'a', host, 80, number > 55, (load,), (), (), (), 1
+            )
+        )
+        rig.dialer.backend_by_host[host] = functools.partial(listen, number)
+        rig.table.merge_report(
+            messages.ReportCopy(f'm{number}', 1, sequence, 0, body)
+        )
+
+    async def listen(number, stream):
+        asked.append(number)
+        await trio.sleep_forever()
+
+    rig.confirm_configuration(relay_rig.encode_configuration())
+    gate = trio.Event()
+    gate.set()
+    rig.add_server('model', 1, _close_together(gate, b''))
+    for number in range(1, 60):
+        report(number, 1, int(number > 48))
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    await trio.sleep(1.0)
+    for number in range(1, 60):
+        report(number, 2, 0)
+    await caller.receive_all()
+    assert sorted(asked) == list(range(49, 60))
+
+
 _HEALTHY = b'HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nContent-Length: 0\r\n\r\n'
 _LEAVING = _HEALTHY.replace(b'200 OK', b'503 Ending')
 _FULL = _LEAVING.replace(b'Instance', b'Not-Executed: 1\r\nInstance')
@@ -217,3 +268,61 @@
         )
 
     relay_rig.with_rig(play)()
+
+
+@relay_rig.with_rig
+async def test_answers_that_end_together_share_a_health_check(rig):
+    """Guards against checks that take all places of a server."""
+    asked = []
+
+    async def serve(stream):
+        if await relay_rig.read_request(stream):
+            asked.append(trio.current_time())
+            await trio.sleep(0.1)
+            await stream.send_all(_HEALTHY)
+
+    rig.add_server('plain', 1, serve)
+    (server,) = rig.servers.usable('plain')
+    found = []
+
+    async def check(due_s):
+        found.append(
+            await rig.prover.health.check(server, '/health', due_s, 1.0)
+        )
+
+    now_s = rig.clock.boot_s()
+    async with trio.open_nursery() as nursery:
+        for _ in range(9):
+            nursery.start_soon(check, now_s)
+        await trio.sleep(0.05)
+        # One that began before this time shows nothing.
+        nursery.start_soon(check, now_s + 0.04)
+    assert len(asked) == 2
+    assert found == [health_check.HealthCheck.HEALTHY] * 10
+
+
+@relay_rig.with_rig
+async def test_plain_answers_that_end_steadily_take_no_health_checks(rig):
+    """Guards against a health check, and a slot, for each plain answer."""
+    fields = relay_rig.decoded_configuration()
+    for service in fields['services']:
+        service['health-path'] = '/health'
+    rig.confirm_configuration(
+        relay_rig.encode_configuration(version=8, services=fields['services'])
+    )
+    gate = trio.Event()
+    gate.set()
+    rig.add_server('plain', 1, _close_together(gate, _FULL))
+    answers = []
+
+    async def call(number):
+        await trio.sleep(0.7 * number)
+        caller = rig.connect()
+        await caller.send('/once/x', request_id=f'r{number}')
+        answers.append(await caller.receive())
+
+    async with trio.open_nursery() as nursery:
+        for number in range(7):
+            nursery.start_soon(call, number)
+    # None has begun since the end of the last one.
+    assert [relay_rig.status_code(a) for a in answers[:6]] == [200] * 6
