Do not let late reports date the sending of a request late

Equal requests were quarantined still after a rollout beside frozen nodes.

Cause: a report dates an end by its arrival at the latest, and with it the sending of the requests that were at the server. A sending after the end of another server makes a second moment.

Change: of two reports of an end the times from sending to end are kept, not the later time of sending.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -109,15 +109,19 @@
             if len(self.crash_by_instance) > _MAX_CRASHES:
                 self.crash_by_instance.popitem(last=False)
             return True
-        sent_at_s_by_suspect = dict(known.sent_at_s_by_suspect)
+        # Reports date a crash late, never early, and what was sent as well.
+        first = min(known, crash, key=lambda c: c.at_s)
+        sent_at_s_by_suspect = {
+            suspect_id: sent_at_s + first.at_s - known.at_s
+            for suspect_id, sent_at_s in known.sent_at_s_by_suspect.items()
+        }
         is_changed = False
         for suspect_id, sent_at_s in crash.sent_at_s_by_suspect.items():
+            sent_at_s += first.at_s - crash.at_s
             known_s = sent_at_s_by_suspect.get(suspect_id)
             if known_s is None or sent_at_s > known_s + _ROUNDING_S:
                 sent_at_s_by_suspect[suspect_id] = sent_at_s
                 is_changed = True
-        # Reports date a crash late, never early.
-        first = min(known, crash, key=lambda c: c.at_s)
         self.crash_by_instance[key] = Crash(
             first.at_s,
             sent_at_s_by_suspect,
--- a/tests/cover/relay/test_stalls.py
+++ b/tests/cover/relay/test_stalls.py
@@ -164,3 +164,20 @@
     node.merge_peer_report(report, clock.now_s, 'n')
     node.record_crash('model', ('m3', 1), ['request:2'], 990.0)
     assert node.find('model', ['request:1']) is None
+
+
+def test_late_report_does_not_date_the_sending_late():
+    """Guards against requests that seem to be sent after an end elsewhere."""
+    clock = fake_clocks.ManualClock()
+    node = crash_quarantine.CrashQuarantine(clock)
+    sent_at_s = clock.now_s - 0.1
+    for number in range(3):
+        clock.now_s += 0.02
+        node.record_crash('model', (f'm{number}', 1), ['request:1'], sent_at_s)
+    report = messages.NodeReport(
+        *('a', 'h', 80, False, (), (), (), (), 1),
+        crashes=node.build_crashes(),
+    )
+    clock.now_s += 0.3
+    node.merge_peer_report(report, clock.now_s, 'n')
+    assert node.find('model', ['request:1']) is None
