Tell other nodes since when a process was seen

Read in the code: bursts are looked for over the time for which this node has known the process. A node that has just started, or seldom uses a server, knows it for a few seconds: 28 ends within 1.4 s at other nodes were no burst to it up to 2.9 s after its first request there, so that cut answers were told.

Change: peers tell the age of their first request, and the earliest counts.

Result: test_node_that_is_new_to_a_process_sees_a_burst_at_others; without the earliest it fails.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -310,4 +310,5 @@
   # One at most.
   begunAgesMs @2 :List(UInt32);
   lostAgesMs @3 :List(UInt32);
+  sinceAgesMs @4 :List(UInt32);
 }
--- a/packages/core/src/foxtailrelay_core/internal/process_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/process_messages.py
@@ -31,9 +31,12 @@
         Age of the latest request whose answer has begun; empty if none.
     lost_ages_ms : tuple of int
         Age of the last loss of a watched connection; empty if none.
+    since_ages_ms : tuple of int
+        Age of the first request to the process; empty if none.
     """
 
     ended_ages_ms: tuple[int, ...] = ()
     cut_ages_ms: tuple[int, ...] = ()
     begun_ages_ms: tuple[int, ...] = ()
     lost_ages_ms: tuple[int, ...] = ()
+    since_ages_ms: tuple[int, ...] = ()
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -119,6 +119,9 @@
             _ages_ms(signs.cut_at_s, since_s, now_s),
             _ages_ms([signs.begun_at_s], since_s, now_s),
             _ages_ms([signs.lost_at_s], since_s, now_s),
+            ()
+            if math.isinf(signs.since_s)
+            else _ages_ms([max(since_s, signs.since_s)], since_s, now_s),
         )
 
     def find(
@@ -175,6 +178,7 @@
         times_s(found.ended_ages_ms),
         max(times_s(found.begun_ages_ms, asked_at_s), default=-math.inf),
         times_s(found.cut_ages_ms),
+        since_s=min(times_s(found.since_ages_ms), default=math.inf),
     )
 
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -119,7 +119,7 @@
     peers_lost_at_s : sequence of float
         When other nodes last lost a connection that was in use for reports.
     since_s : float
-        When this node sent the process its first request.
+        When the process was sent the first request that is known.
     """
 
     lived_at_s: float
@@ -137,6 +137,7 @@
             begun_at_s=max(self.begun_at_s, peer.begun_at_s),
             cut_at_s=[*self.cut_at_s, *peer.cut_at_s],
             peers_lost_at_s=[*self.peers_lost_at_s, peer.lost_at_s],
+            since_s=min(self.since_s, peer.since_s),
         )
 
 
--- a/tests/cover/relay/test_answer_end.py
+++ b/tests/cover/relay/test_answer_end.py
@@ -74,7 +74,7 @@
     assert answer_end.judge(_END, signs) is verdict
 
 
-class _Answer:
+class Answer:
     def __init__(self, sent_at_s, first_event_at_s=None):
         self.attempt_sent_at_s = sent_at_s
         self.attempt_first_event_at_s = first_event_at_s
@@ -82,8 +82,8 @@
 
 def test_signs_of_an_answer_are_those_of_the_others():
     table = process_signs.ProcessSignsTable()
-    with table.track(_KEY, _Answer(1.0, 1.5)) as first:
-        second_answer = _Answer(2.0)
+    with table.track(_KEY, Answer(1.0, 1.5)) as first:
+        second_answer = Answer(2.0)
         with table.track(_KEY, second_answer) as second:
             table.record_end(_KEY, first, 3.0)
             assert table.find(_KEY, first).ended_at_s == []
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -16,6 +16,7 @@
 
 from common import answer_reader
 from common import relay_rig
+from cover.relay import test_answer_end
 
 _KEY = ('s1', 1)
 _PROMPT = ('Token-Counts: 100,20', 'Prompt-Prefix: aa:60,bb:40')
@@ -88,6 +89,19 @@
     assert signs.begun_at_s < 0
 
 
+def test_node_that_is_new_to_a_process_sees_a_burst_at_others():
+    """Guards against ends that are told by nodes that have just started."""
+    table = process_signs.ProcessSignsTable()
+    with table.track(_KEY, test_answer_end.Answer(-5.0)):
+        for number in range(20):
+            table.record_end(_KEY, number, 9.0 + number / 10)
+        told = table.describe(_KEY, 11.5)
+    sent = messages.decode(messages.encode(1, told))[1]
+    peer = process_signs.from_peer(sent, 11.5, 11.5)
+    signs = _LIVED._replace(since_s=9.0)
+    assert answer_end.judge(_END, signs.merge(peer)) is _Verdict.COINCIDENT
+
+
 def test_few_of_many_signs_of_another_node_are_read():
     """Guards against a message that takes a node a second."""
     told = messages.ProcessFound(ended_ages_ms=tuple(range(50_000, 0, -1)))
