Log ends that an unhealthy process leaves in doubt

Found in review: end_proof named verdicts that break an answer, and nothing logged them. answer-end-doubted names them now, with what follows.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -90,12 +90,24 @@
             if isinstance(verdict, answer_end.EndVerdict):
                 if verdict.is_doubt:
                     verdict = await self._resolve_doubt(end, verdict)
-                self._progress.end_proof = verdict.value
                 self._count(verdict.name)
+                if verdict.may_be_told:
+                    self._progress.end_proof = verdict.value
+                else:
+                    self._log_doubt(
+                        verdict.value,
+                        now_s,
+                        'the answer counts as broken unless another server '
+                        'confirms its end',
+                    )
                 return verdict
             doubt = verdict
         self._progress.end_proof = ''
         self._count('BROKEN')
+        self._log_doubt(doubt, now_s, 'the answer counts as broken')
+        return results.Broken(f'{_REASON}, and {doubt}', True)
+
+    def _log_doubt(self, check: str, ended_at_s: float, effect: str) -> None:
         _LOG.info(
             'answer-end-doubted',
             extra={
@@ -103,12 +115,11 @@
                 'attempt': self._progress.sent_count,
                 'server': self._server.id,
                 'started_ms': self._server.started_ms,
-                'check': doubt,
-                'after_end_s': round(self._context.now_s() - now_s, 3),
-                'effect': 'the answer counts as broken',
+                'check': check,
+                'after_end_s': round(self._context.now_s() - ended_at_s, 3),
+                'effect': effect,
             },
         )
-        return results.Broken(f'{_REASON}, and {doubt}', True)
 
     def _count(self, verdict: str) -> None:
         self._context.metrics.answer_ends.labels(verdict.lower()).inc()
