--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/load_tracker.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/load_tracker.py
@@ -16,9 +16,6 @@
 
 # Weight of a new sample in the moving averages of speed and failures.
 _SMOOTHING_FACTOR = 0.2
-# The weight of a sample of speed after a longer pause than this.
-_SPEED_PAUSE_S = 2.0
-_FACTOR_AFTER_PAUSE = 0.6
 # Bounds of a server's speed, as multiples of the service's usual one.
 _MIN_SPEED = 0.1
 _MAX_SPEED = 4.0
@@ -45,15 +42,12 @@
         self.running = moving_average.MovingAverage(now_s)
         self.pending_tokens = moving_average.MovingAverage(now_s)
         self.speed = 1.0
-        self.speed_at_s = now_s
         self.consecutive_failures = 0
         self.avoid_until_s = -math.inf
         self.failure_share = 0.0
         self.reported: answer_head.ReportedLoad | None = None
         self.reported_at_s = -math.inf
         self.last_used_s = now_s
-        self.sent_at_s = now_s
-        self.sent_number = 0
         self.prefixes = prefix_cache_tracker.PrefixCacheTracker(
             kv_capacity_tokens
         )
@@ -75,7 +69,6 @@
             collections.defaultdict(dict)
         )
         self._loaded_servers_by_node: dict[str, list[str]] = {}
-        self._sent_by_service: collections.Counter[str] = collections.Counter()
 
     def view(
         self,
@@ -108,8 +101,6 @@
             stats.prefixes.cached_tokens(parts),
             stats.failure_share,
             now_s < stats.avoid_until_s,
-            now_s - stats.sent_at_s,
-            self._sent_by_service[server.service] - stats.sent_number,
         )
 
     def own_running(self, server: backend_server.BackendServer) -> int:
@@ -125,9 +116,6 @@
         """Record that a request is being sent."""
         stats = self._stats(server)
         now_s = self._clock.boot_s()
-        self._sent_by_service[server.service] += 1
-        stats.sent_number = self._sent_by_service[server.service]
-        stats.sent_at_s = now_s
         stats.running.add(1, now_s)
         stats.pending_tokens.add(uncached_tokens, now_s)
         stats.prefixes.record_prompt(parts)
@@ -148,13 +136,8 @@
     ) -> None:
         """Record the ratio of expected to measured time."""
         stats = self._stats(server)
-        now_s = self._clock.boot_s()
-        factor = _SMOOTHING_FACTOR
-        if now_s - stats.speed_at_s > _SPEED_PAUSE_S:
-            factor = _FACTOR_AFTER_PAUSE
         speed = stats.speed * min(2.0, max(0.5, ratio))
-        average = stats.speed + factor * (speed - stats.speed)
-        stats.speed_at_s = now_s
+        average = stats.speed + _SMOOTHING_FACTOR * (speed - stats.speed)
         stats.speed = min(_MAX_SPEED, max(_MIN_SPEED, average))
 
     def record_reported_load(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/plain_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/plain_placer.py
@@ -14,13 +14,6 @@
 _OTHER_ZONE_COST_S = 0.003
 # Cost of a server all of whose recent attempts have failed.
 _FAILURE_COST_S = 0.1
-# A server that was slow may be as fast as others again after this time without
-# a request, and only a request shows that.
-_SPEED_MAX_AGE_S = 5.0
-# At most one request in so many tests a server that was slow.
-_TEST_INTERVAL = 50
-# Smaller differences of speed are noise of the measurement.
-_EQUAL_SPEED_SHARE = 0.8
 
 
 class PlainPlacer(placer.Placer):
@@ -49,11 +42,10 @@
                 'no server is listed', 1.0, False
             )
         usable = [v for v in views if not v.is_avoided] or list(views)
-        fastest = max(v.speed for v in usable)
         chosen = min(
             usable,
             key=lambda v: (
-                self._cost_s(demand, v, fastest),
+                self._cost_s(demand, v),
                 rendezvous_hash.weight(demand.request_id, v.server.id),
             ),
         )
@@ -71,20 +63,10 @@
         return self._service_time_s * (1 + rounds) / view.speed
 
     def _cost_s(
-        self,
-        demand: demands.Demand,
-        view: server_view.ServerView,
-        fastest: float,
+        self, demand: demands.Demand, view: server_view.ServerView
     ) -> float:
-        speed = view.speed
-        if speed >= _EQUAL_SPEED_SHARE * fastest or (
-            view.unused_s > _SPEED_MAX_AGE_S
-            and view.unused_count >= _TEST_INTERVAL
-            and self._expected_s(view) <= demand.remaining_s
-        ):
-            speed = fastest
         fullness = view.running / max(1, view.server.slots)
-        cost_s = self._service_time_s * (1 + fullness) / speed
+        cost_s = self._service_time_s * (1 + fullness) / view.speed
         cost_s += _FAILURE_COST_S * view.failure_share
         if view.server.zone != demand.zone:
             cost_s += _OTHER_ZONE_COST_S
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/server_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/server_view.py
@@ -25,10 +25,6 @@
         Share of recent attempts that the server failed, 0 to 1.
     is_avoided : bool
         Whether the server has just failed.
-    unused_s : float
-        Seconds since this node last sent it a request.
-    unused_count : int
-        Requests that this node has sent to others of the service since then.
     """
 
     server: backend_server.BackendServer
@@ -38,5 +34,3 @@
     cached_tokens: int
     failure_share: float
     is_avoided: bool
-    unused_s: float = 0.0
-    unused_count: int = 0
