Ask a process for its health at once when it ends an answer without a length

What callers saw: streams without a length that look whole before their last event (ORDER), where a process closes its connections one by one while it answers others; and sound streams that were broken since their server crashed within 1.5 s after the end.

Cause: the end was believed after 1.5 s in which the process answered, unless the times of other ends made it unlikely (Poisson windows, beginnings, ends at other nodes). These are circumstances: two ends a second apart are none, and a crash a second later says nothing of an end.

Change: right after each such end the service's health-path is asked, by one check that all ends of the process before it share, then a report of the listed start. 200 tells the end. A full server is asked again for 1.5 s. A process that has announced that it leaves has to live on for 1.5 s, as before, and streams that may be resumed are then confirmed elsewhere. A service without a health-path has no proof: its ends are not told, as those of foxtailrelayd. Taken out: Poisson windows, the 12 s history of ends, beginnings, the age of a process, and what nodes told each other of these. Kept: watched connections of workers, of all nodes, and cut answers, which a test needs. The stand-ins answer health checks: 503 once they end or drain.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -304,11 +304,12 @@
 }
 
 struct ProcessFound {
-  # Milliseconds before this message.
-  endedAgesMs @0 :List(UInt32);
-  cutAgesMs @1 :List(UInt32);
+  # Milliseconds before this message.  Only earlier releases send and read
+  # the fields whose names begin with "old".
+  oldEndedAgesMs @0 :List(UInt32);
+  oldCutAgesMs @1 :List(UInt32);
+  oldBegunAgesMs @2 :List(UInt32);
   # One at most.
-  begunAgesMs @2 :List(UInt32);
   lostAgesMs @3 :List(UInt32);
-  sinceAgesMs @4 :List(UInt32);
+  oldSinceAgesMs @4 :List(UInt32);
 }
--- a/packages/core/src/foxtailrelay_core/internal/process_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/process_messages.py
@@ -19,24 +19,11 @@
 class ProcessFound(typing.NamedTuple):
     """What a node has seen of a process.
 
-    Ages are in milliseconds at the time of this message.
-
     Parameters
     ----------
-    ended_ages_ms : tuple of int
-        Ages of the ends of connections that ended answers without a length.
-    cut_ages_ms : tuple of int
-        Ages of the ends of connections that cut answers off.
-    begun_ages_ms : tuple of int
-        Age of the latest request whose answer has begun; empty if none.
     lost_ages_ms : tuple of int
-        Age of the last loss of a watched connection; empty if none.
-    since_ages_ms : tuple of int
-        Age of the first request to the process; empty if none.
+        Age of the last loss of a watched connection, in milliseconds at the
+        time of this message; empty if none.
     """
 
-    ended_ages_ms: tuple[int, ...] = ()
-    cut_ages_ms: tuple[int, ...] = ()
-    begun_ages_ms: tuple[int, ...] = ()
     lost_ages_ms: tuple[int, ...] = ()
-    since_ages_ms: tuple[int, ...] = ()
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -90,11 +90,6 @@
         body = bytearray()
         lease = self._open_lease()
         while (part := await self._backend.receive_part()) is not None:
-            if head.is_success and not body:
-                self._context.prover.signs.record_begun(
-                    self._placed.view.server.instance_key,
-                    self._progress.attempt_sent_at_s,
-                )
             has_room = lease.try_hold(len(part))
             body += part
             if has_room and len(body) <= _MAX_COLLECTED_BYTES:
@@ -325,7 +320,7 @@
     ) -> answer_end.EndVerdict | results.Broken:
         """Return what is known of the end of the answer."""
         if not self._backend.is_close_delimited:
-            return answer_end.EndVerdict.WHOLE
+            return answer_end.EndVerdict.FRAMED
         self._record_server_end()
         self._progress.connection_ended_at_s = self._context.now_s()
         return await end_prover.EndProver(
@@ -333,6 +328,7 @@
             self._placed.view.server,
             self._progress,
             self._job.request.request_id,
+            self._job.access.route.is_idempotent,
             self._record_placed_end,
         ).find_verdict()
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -282,10 +282,7 @@
         route_name = job.access.route.name
         number = self._context.durations.begin(route_name)
         try:
-            with self._context.prover.signs.track(
-                server.instance_key, progress
-            ) as progress.answer_number:
-                result = await exchange.run(headers)
+            result = await exchange.run(headers)
             if exchange.has_answered and _is_cut(result, backend):
                 self._context.prover.signs.record_cut(
                     server.instance_key, self._context.now_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -17,12 +17,12 @@
 
 _LOG = logbook.Logger('foxtailrelay.requests')
 _POLL_INTERVAL_S = 0.1
+# A full server refuses checks for a while.
+_RETRY_DELAY_S = 0.05
+_MAX_RETRY_DELAY_S = 0.4
 _REASON = 'the connection ended the answer'
-_VERDICT_BY_HEALTH = {
-    health_check.HealthCheck.HEALTHY: answer_end.EndVerdict.HEALTHY,
-    health_check.HealthCheck.UNHEALTHY: answer_end.EndVerdict.UNHEALTHY,
-    health_check.HealthCheck.UNKNOWN: answer_end.EndVerdict.UNKNOWN,
-}
+_Health = health_check.HealthCheck
+_Verdict = answer_end.EndVerdict
 _RUNNING = (
     server_end_checker.ServerCheck.RUNNING,
     server_end_checker.ServerCheck.LINK_CUT,
@@ -30,7 +30,10 @@
 
 
 class EndProver:
-    """Waits until the process of an answer without a length has lived on.
+    """Finds out whether an answer without a length is whole.
+
+    Its process is asked at once whether it is healthy and not leaving.  One
+    that has announced that it leaves has to live on for a while instead.
 
     Parameters
     ----------
@@ -42,8 +45,10 @@
         Progress of the request; ``end_proof`` is updated.
     request_id : str
         Id of the request, for the log.
+    is_repeatable : bool
+        Whether another server may go on with the answer or repeat it.
     record_placed_end : callable
-        Called before the wait, when the server has no more to do.
+        Called once it is known that the server only has no more to do.
     """
 
     def __init__(
@@ -52,12 +57,14 @@
         server: backend_server.BackendServer,
         progress: progresses.Progress,
         request_id: str,
+        is_repeatable: bool,
         record_placed_end: typing.Callable[[], None],
     ) -> None:
         self._context = context
         self._server = server
         self._progress = progress
         self._request_id = request_id
+        self._is_repeatable = is_repeatable
         self._record_placed_end = record_placed_end
 
     async def find_verdict(
@@ -79,33 +86,27 @@
         )
         if end.is_at_deadline:
             return results.Broken(f'{_REASON} at the deadline')
-        self._context.prover.signs.record_end(
-            self._server.instance_key, self._progress.answer_number, now_s
-        )
-        doubt = await self._find_doubt()
-        if not doubt:
-            # Its place would count as taken for all nodes meanwhile.
-            self._record_placed_end()
-            verdict = await self._wait_for_verdict(end)
-            if isinstance(verdict, answer_end.EndVerdict):
-                if verdict.is_doubt:
-                    verdict = await self._resolve_doubt(end, verdict)
-                self._count(verdict.name)
-                if verdict.may_be_told:
-                    self._progress.end_proof = verdict.value
-                else:
-                    self._log_doubt(
-                        verdict.value,
-                        now_s,
-                        'the answer counts as broken unless another server '
-                        'confirms its end',
-                    )
-                return verdict
-            doubt = verdict
+        peers = self._context.prover.peer_signs.choose(self._server.id)
+        verdict = await self._find_proof(end)
+        if verdict in (_Verdict.HEALTHY, _Verdict.LEAVING):
+            verdict = await self._exclude_loss(end, verdict, peers)
+        if isinstance(verdict, answer_end.EndVerdict):
+            self._count(verdict.name)
+            if verdict.may_be_told:
+                self._progress.end_proof = verdict.value
+            else:
+                self._progress.end_proof = ''
+                self._log_doubt(
+                    verdict.value,
+                    now_s,
+                    'the answer counts as broken unless another server '
+                    'confirms its end',
+                )
+            return verdict
         self._progress.end_proof = ''
         self._count('BROKEN')
-        self._log_doubt(doubt, now_s, 'the answer counts as broken')
-        return results.Broken(f'{_REASON}, and {doubt}', True)
+        self._log_doubt(verdict, now_s, 'the answer counts as broken')
+        return results.Broken(f'{_REASON}, and {verdict}', True)
 
     def _log_doubt(self, check: str, ended_at_s: float, effect: str) -> None:
         _LOG.info(
@@ -124,87 +125,111 @@
     def _count(self, verdict: str) -> None:
         self._context.metrics.answer_ends.labels(verdict.lower()).inc()
 
-    async def _wait_for_verdict(
+    async def _find_proof(
         self, end: answer_end.AnswerEnd
     ) -> answer_end.EndVerdict | str:
-        """Wait until it is certain that the process has lived on, or not."""
+        """Return the verdict, or why the process may have ended."""
+        path = self._context.state.health_path(self._server.service)
+        if self._is_leaving():
+            return await self._wait_until_lived_on(end)
+        if not path:
+            doubt = await self._find_doubt(is_last=True)
+            return doubt or _Verdict.UNCHECKED
+        health = await self._ask_health(end, path)
+        if health is _Health.HEALTHY:
+            return _Verdict.HEALTHY
+        if isinstance(health, str):
+            return health
+        if not self._is_repeatable:
+            # One that begins to leave is listed as leaving a little later.
+            while self._context.now_s() < self._limit(end).due_s:
+                if self._is_leaving():
+                    return await self._wait_until_lived_on(end)
+                await trio.sleep(_POLL_INTERVAL_S)
+            doubt = await self._find_doubt(is_last=True)
+            if doubt:
+                return doubt
+        if health is _Health.UNHEALTHY:
+            return _Verdict.UNHEALTHY
+        return _Verdict.UNKNOWN
+
+    async def _ask_health(
+        self, end: answer_end.AnswerEnd, path: str
+    ) -> health_check.HealthCheck | str:
+        """Ask the process whether it is healthy until it answers.
+
+        Returns why it may have ended, if that is known.
+        """
+        delay_s = _RETRY_DELAY_S
+        while True:
+            check = await self._context.prover.health.check(
+                self._server, path, end.ended_at_s
+            )
+            if check.has_lived_on:
+                return _Health.HEALTHY
+            is_last = self._context.now_s() >= self._limit(end).due_s
+            has_answered = check.health is not _Health.UNKNOWN
+            doubt = await self._find_doubt(is_last or has_answered)
+            if doubt:
+                return doubt
+            self._record_placed_end()
+            if is_last or has_answered:
+                return check.health
+            await trio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _MAX_RETRY_DELAY_S)
+
+    def _is_leaving(self) -> bool:
+        servers = self._context.servers
+        return servers.has_announced_end(
+            self._server
+        ) or not servers.is_listed(self._server)
+
+    def _limit(self, end: answer_end.AnswerEnd) -> answer_end.AnswerEnd:
+        """Return the end with the deadline of a node that stops."""
+        stop = self._context.state.stop
+        return end if stop is None else end.before(stop.answers_until_s)
+
+    async def _wait_until_lived_on(
+        self, end: answer_end.AnswerEnd
+    ) -> answer_end.EndVerdict | str:
+        """Wait until the process has answered long enough after the end."""
+        doubt = await self._find_doubt()
+        if doubt:
+            return doubt
+        self._record_placed_end()
         context, key = self._context, self._server.instance_key
-        lived_at_s = end.ended_at_s
-        peers = context.prover.peer_signs.choose(self._server.id)
         while True:
             now_s = context.now_s()
-            stop = context.state.stop
-            if stop is not None:
-                end = end.before(stop.answers_until_s)
-            due_s = end.ended_at_s + end.confirm_s
-            signs = context.prover.signs.find(
-                key, self._progress.answer_number
-            )
-            lived_at_s = max(lived_at_s, signs.lived_at_s)
-            verdict = answer_end.judge(
-                end, signs._replace(lived_at_s=lived_at_s)
-            )
-            if verdict is answer_end.EndVerdict.LOST:
-                return verdict.value
-            if verdict is not answer_end.EndVerdict.PENDING:
-                return await self._judge_with_peers(end, lived_at_s, peers)
+            due_s = self._limit(end).due_s
+            if context.prover.signs.find(key).lived_at_s >= due_s:
+                return _Verdict.LEAVING
             if now_s >= due_s:
                 doubt = await self._find_doubt(is_last=True)
-                if doubt:
-                    return doubt
-                lived_at_s = now_s
-            elif self._is_known_to_have_ended():
+                return doubt or _Verdict.LEAVING
+            if self._is_known_to_have_ended():
                 return server_end_checker.ServerCheck.ENDED.value
-            else:
-                await trio.sleep(min(_POLL_INTERVAL_S, due_s - now_s))
+            await trio.sleep(min(_POLL_INTERVAL_S, due_s - now_s))
 
-    async def _judge_with_peers(
+    async def _exclude_loss(
         self,
         end: answer_end.AnswerEnd,
-        lived_at_s: float,
+        verdict: answer_end.EndVerdict,
         peers: typing.Iterable[address_book.PeerAddress],
     ) -> answer_end.EndVerdict | str:
+        """Return the verdict if no worker has ended with the answer."""
+        # Its place would count as taken for all nodes meanwhile.
+        self._record_placed_end()
+        settled_s = self._limit(end).settled_s
+        await trio.sleep(max(0.0, settled_s - self._context.now_s()))
         signs = await self._context.prover.peer_signs.find(
             self._server.instance_key,
-            self._progress.answer_number,
             peers,
             end.ask_within_s(self._context.now_s()),
         )
-        verdict = answer_end.judge(end, signs._replace(lived_at_s=lived_at_s))
-        if verdict is answer_end.EndVerdict.LOST:
-            return verdict.value
+        if answer_end.has_ended_with_others(end, signs):
+            return _Verdict.LOST.value
         return verdict
 
-    async def _resolve_doubt(
-        self, end: answer_end.AnswerEnd, verdict: answer_end.EndVerdict
-    ) -> answer_end.EndVerdict:
-        """Ask the process whether it is healthy, if the service allows it."""
-        servers = self._context.servers
-        is_leaving = servers.has_announced_end(
-            self._server
-        ) or not servers.is_listed(self._server)
-        if is_leaving and verdict is answer_end.EndVerdict.UNCONFIRMED:
-            return answer_end.EndVerdict.LEAVING
-        if is_leaving:
-            # Its health check says nothing else.
-            return verdict
-        path = self._context.state.health_path(self._server.service)
-        if not path:
-            return verdict
-        check = await self._context.prover.health.check(
-            self._server,
-            path,
-            end.ended_at_s + end.confirm_s,
-            end.ask_within_s(self._context.now_s()),
-        )
-        if (
-            check is health_check.HealthCheck.HEALTHY
-            and verdict is answer_end.EndVerdict.COINCIDENT
-        ):
-            # Another worker of the process may have answered.
-            return verdict
-        return _VERDICT_BY_HEALTH[check]
-
     def _is_known_to_have_ended(self) -> bool:
         end_checker = self._context.end_checker
         return end_checker.has_ended(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing
 
 import trio
 
@@ -13,27 +14,40 @@
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
 
-# The caller of an answer in doubt waits meanwhile.
-_TIMEOUT_S = 0.4
-# A full server refuses a check, or resets its connection.
-_RETRY_DELAY_S = 0.05
+# Includes a wait for a place at a full server.
+_TIMEOUT_S = 0.6
 _UNKNOWN = health_check.HealthCheck.UNKNOWN
 
 
+class ProcessCheck(typing.NamedTuple):
+    """What a process says of itself.
+
+    Parameters
+    ----------
+    health : HealthCheck
+        Whether it is healthy.
+    has_lived_on : bool
+        Whether the listed instance has reported after the health check.
+    """
+
+    health: health_check.HealthCheck
+    has_lived_on: bool = False
+
+
 @dataclasses.dataclass
-class _Check:
-    """A check under way."""
+class _SharedCheck:
+    """A check that is shared by the ends that it is begun after."""
 
     began_at_s: float
     finished: trio.Event = dataclasses.field(default_factory=trio.Event)
-    found: health_check.HealthCheck = _UNKNOWN
+    found: ProcessCheck = ProcessCheck(_UNKNOWN)
 
 
 class HealthProber:
     """Asks backend servers whether they are healthy and not leaving.
 
-    Checks take a place of the server; answers in doubt only are worth it, and
-    answers that end together share one.
+    A check takes a place of the server.  So a process is asked by one check
+    at a time, and all answers that end during a check share the next one.
 
     Parameters
     ----------
@@ -43,6 +57,8 @@
         Format of the checks.
     metrics : RelayMetrics
         Counts the checks.
+    prove : callable
+        Asks a server for a report; returns whether it is the listed instance.
     clock : Clock
         Clock for the times of checks.
     """
@@ -52,61 +68,68 @@
         dialer: server_dialer.ServerDialer,
         report_format: instance_report.ReportFormat,
         metrics: relay_metrics.RelayMetrics,
+        prove: typing.Callable[
+            [backend_server.BackendServer], typing.Awaitable[bool]
+        ],
         clock: clocks.Clock,
     ) -> None:
         self._dialer = dialer
         self._format = report_format
         self._metrics = metrics
+        self._prove = prove
         self._clock = clock
         self._numbers = itertools.count(1)
-        self._check_by_key: dict[tuple[str, int], _Check] = {}
+        self._check_by_key: dict[tuple[str, int], _SharedCheck] = {}
 
     async def check(
-        self,
-        server: backend_server.BackendServer,
-        path: str,
-        due_s: float,
-        within_s: float,
-    ) -> health_check.HealthCheck:
-        """Ask a server until it answers and is not full.
+        self, server: backend_server.BackendServer, path: str, due_s: float
+    ) -> ProcessCheck:
+        """Ask a process once, together with others that ask for the same.
 
         Parameters
         ----------
         server : BackendServer
             The instance.
         path : str
-            Target of the checks.
+            Target of the check.
         due_s : float
-            Checks that begin earlier show nothing, in seconds since boot.
-        within_s : float
-            For how long the caller of the answer can wait.
+            A check that begins earlier shows nothing, in seconds since boot.
         """
-        found = _UNKNOWN
-        with trio.move_on_after(min(_TIMEOUT_S, within_s)):
-            while True:
-                found = await self._share_check(server, path, due_s)
-                if found is not _UNKNOWN:
-                    break
-                await trio.sleep(_RETRY_DELAY_S)
-        self._metrics.health_checks.labels(found.name.lower()).inc()
-        return found
-
-    async def _share_check(
-        self, server: backend_server.BackendServer, path: str, due_s: float
-    ) -> health_check.HealthCheck:
         key = server.instance_key
-        check = self._check_by_key.get(key)
-        if check is not None and check.began_at_s >= due_s:
-            await check.finished.wait()
-            return check.found
-        check = self._check_by_key[key] = _Check(self._clock.boot_s())
+        while True:
+            shared = self._check_by_key.get(key)
+            if shared is None:
+                shared = _SharedCheck(self._clock.boot_s())
+                self._check_by_key[key] = shared
+                return await self._run(server, path, shared)
+            await shared.finished.wait()
+            if shared.began_at_s >= due_s:
+                return shared.found
+
+    async def _run(
+        self,
+        server: backend_server.BackendServer,
+        path: str,
+        shared: _SharedCheck,
+    ) -> ProcessCheck:
         try:
-            check.found = await self._check_once(server, path)
+            shared.found = await self._check_with_report(server, path)
         finally:
-            check.finished.set()
-            if self._check_by_key.get(key) is check:
-                del self._check_by_key[key]
-        return check.found
+            shared.finished.set()
+            del self._check_by_key[server.instance_key]
+        return shared.found
+
+    async def _check_with_report(
+        self, server: backend_server.BackendServer, path: str
+    ) -> ProcessCheck:
+        health = _UNKNOWN
+        with trio.move_on_after(_TIMEOUT_S):
+            health = await self._check_once(server, path)
+        self._metrics.health_checks.labels(health.name.lower()).inc()
+        if health is not health_check.HealthCheck.HEALTHY:
+            return ProcessCheck(health)
+        # The next process may have the id of the listed one.
+        return ProcessCheck(health, await self._prove(server))
 
     async def _check_once(
         self, server: backend_server.BackendServer, path: str
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/instance_prover.py
@@ -118,7 +118,7 @@
         self.signs = signs.table
         self.peer_signs = signs
         self.health = health_prober.HealthProber(
-            dialer, report_format, metrics, clock
+            dialer, report_format, metrics, self._is_listed_instance, clock
         )
         self.workers = worker_watch.WorkerWatch(
             dialer, self._ask, self.signs, clock
@@ -171,6 +171,12 @@
             self.signs.record_lived(server.instance_key, began_s)
         return check
 
+    async def _is_listed_instance(
+        self, server: backend_server.BackendServer
+    ) -> bool:
+        check = await self.check_server(server)
+        return check.proof is _Proof.PROVED
+
     async def _check_connections(
         self, server: backend_server.BackendServer
     ) -> InstanceCheck:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -67,8 +67,6 @@
     connection_ended_at_s : float
         When the connection of the last answer without a length ended, in
         seconds since boot.
-    answer_number : int
-        Number of the current attempt's answer among those of its server.
     unconfirmed_end : CancelScope or None
         Limits the time in which another server may show that the stream goes
         on after its end, while one is asked.
@@ -102,7 +100,6 @@
     attempt_sent_at_s: float = 0.0
     attempt_deadline_s: float = math.inf
     attempt_first_event_at_s: float | None = None
-    answer_number: int = 0
     unconfirmed_end: trio.CancelScope | None = None
     end_proof: str = ''
     long_bytes: int = 0
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -18,10 +18,10 @@
 
 
 class PeerSigns:
-    """Shares signs of ending processes between nodes.
+    """Shares signs of ending workers between nodes.
 
-    One node has few answers of a process at a time, so that several of them
-    seldom end together there; over all nodes they do.
+    The connections to a server that one node watches may all belong to other
+    workers than the one that ends; those of all nodes seldom do.
 
     Parameters
     ----------
@@ -58,7 +58,6 @@
     async def find(
         self,
         key: tuple[str, int],
-        number: int,
         addresses: typing.Iterable[address_book.PeerAddress],
         within_s: float,
     ) -> answer_end.ProcessSigns:
@@ -68,34 +67,27 @@
         ----------
         key : tuple of str and int
             Id and start of the instance.
-        number : int
-            The answer at this node whose own signs are left out.
         addresses : iterable of PeerAddress
             The nodes that are asked.
         within_s : float
-            For how long the caller of that answer can wait.
+            For how long the caller of the answer can wait.
         """
-        found: list[answer_end.ProcessSigns] = []
+        peers_lost_at_s: list[float] = []
         timeout_s = min(_QUERY_TIMEOUT_S, within_s)
 
         async def ask(address: address_book.PeerAddress) -> None:
-            asked_at_s = self._clock.boot_s()
             answer = await self._client.request(
                 address, messages.ProcessQuery(*key), timeout_s
             )
             if isinstance(answer, messages.ProcessFound):
-                now_s = self._clock.boot_s()
-                found.append(
-                    process_signs.from_peer(answer, asked_at_s, now_s)
+                peers_lost_at_s.append(
+                    process_signs.lost_at_s(answer, self._clock.boot_s())
                 )
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
                 nursery.start_soon(ask, address)
-        signs = self.table.find(key, number)
-        for peer in found:
-            signs = signs.merge(peer)
-        return signs
+        return self.table.find(key)._replace(peers_lost_at_s=peers_lost_at_s)
 
     def choose(self, server_id: str) -> list[address_book.PeerAddress]:
         """Return the peers to ask, those with most requests there first.
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -38,7 +38,7 @@
         )
         self.health_checks = prometheus_client.Counter(
             'foxtailrelay_health_checks',
-            'Health checks of servers whose answers are in doubt.',
+            'Health checks of servers whose answers have no length.',
             ['result'],
             registry=self.registry,
         )
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -249,6 +249,7 @@
         proxy = self.proxy_by_engine[old_id]
         address = self._address_by_engine[old_id]
         if change.close_s:
+            old.stand_in.is_healthy = False
             order = random.Random(old.number)
             await proxy.end_in_turn(order, change.close_s)
             if old.has_ended:
@@ -427,6 +428,9 @@
         self._store_entry(server_id)
         self.draining_since_by_id.setdefault(server_id, time.monotonic())
         self._end_span(server_id)
+        stand_in = self.engine_by_id.get(server_id)
+        if stand_in is not None:
+            stand_in.is_healthy = False
 
     def start_node(self, host: str) -> None:
         """Start a node's process."""
--- a/tests/cover/relay/test_ended_peers.py
+++ b/tests/cover/relay/test_ended_peers.py
@@ -48,6 +48,7 @@
         self._peer = test_partitions._Peer(rig)
         started = rig.dialer.started_ms_by_host
         self._peer.dialer.started_ms_by_host = started
+        self._peer.dialer.id_by_host = rig.dialer.id_by_host
         self._scopes = []
         self._server_streams = []
         self._connect_to_server = self._peer.dialer.connect
