Confirm a stream elsewhere if a node does not say what it lost

Cause: the three connections to the server that node 1 watched belonged to other connections than those that ended. Node 2 had lost one at that moment (watched-connection-lost at 1796538789.144), but its link to its peers was silent from 4.94 to 8.04 s, so the query was not answered, and a node that does not answer counted as one that has lost nothing.

Change: if a node that is asked does not answer, the end is not certain: a stream that may be resumed is confirmed at its last id by another server. Others are told.

Evidence: test_stream_goes_on_if_a_node_does_not_say_what_it_lost fails without the change and passes with it. Streams that may not be resumed are not helped by this.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -228,6 +228,8 @@
         )
         if answer_end.has_ended_with_others(end, signs):
             return _Verdict.LOST.value
+        if verdict is _Verdict.HEALTHY and not signs.is_shared:
+            return _Verdict.UNSHARED
         return verdict
 
     def _is_known_to_have_ended(self) -> bool:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -84,10 +84,14 @@
                     process_signs.lost_at_s(answer, self._clock.boot_s())
                 )
 
+        asked = list(addresses)
         async with trio.open_nursery() as nursery:
-            for address in addresses:
+            for address in asked:
                 nursery.start_soon(ask, address)
-        return self.table.find(key)._replace(peers_lost_at_s=peers_lost_at_s)
+        return self.table.find(key)._replace(
+            peers_lost_at_s=peers_lost_at_s,
+            is_shared=len(peers_lost_at_s) == len(asked),
+        )
 
     def choose(self, server_id: str) -> list[address_book.PeerAddress]:
         """Return the peers to ask, those with most requests there first.
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -24,6 +24,7 @@
 
     FRAMED = 'the answer says where it ends'
     HEALTHY = 'its process is healthy and not leaving after the end'
+    UNSHARED = 'its process is healthy, and not all nodes say what they lost'
     LEAVING = 'its process has announced that it leaves, and has lived on'
     LOST = 'another connection of its process ended with it'
     UNHEALTHY = 'its process is not healthy after the end'
@@ -33,7 +34,10 @@
     @property
     def may_be_told(self) -> bool:
         """Whether the end counts if no other server contradicts it."""
-        return self.is_certain or self is EndVerdict.LEAVING
+        return self.is_certain or self in (
+            EndVerdict.UNSHARED,
+            EndVerdict.LEAVING,
+        )
 
     @property
     def is_certain(self) -> bool:
@@ -101,12 +105,15 @@
         When connections cut other answers off before their end.
     peers_lost_at_s : sequence of float
         When other nodes last lost such a connection.
+    is_shared : bool
+        Whether all nodes that were asked have answered.
     """
 
     lived_at_s: float = -math.inf
     lost_at_s: float = -math.inf
     cut_at_s: typing.Sequence[float] = ()
     peers_lost_at_s: typing.Sequence[float] = ()
+    is_shared: bool = True
 
 
 def has_ended_with_others(end: AnswerEnd, signs: ProcessSigns) -> bool:
--- a/tests/cover/relay/test_answer_end.py
+++ b/tests/cover/relay/test_answer_end.py
@@ -33,7 +33,7 @@
     told = {verdict for verdict in _Verdict if verdict.may_be_told}
     certain = {verdict for verdict in _Verdict if verdict.is_certain}
     assert certain == {_Verdict.FRAMED, _Verdict.HEALTHY}
-    assert told == certain | {_Verdict.LEAVING}
+    assert told == certain | {_Verdict.UNSHARED, _Verdict.LEAVING}
 
 
 @pytest.mark.parametrize(
--- a/tests/cover/relay/test_unconfirmed_ends.py
+++ b/tests/cover/relay/test_unconfirmed_ends.py
@@ -1,5 +1,6 @@
 """Streams whose end another server is asked to confirm."""
 
+from foxtailrelay_core import messages
 import pytest
 import trio
 
@@ -117,3 +118,20 @@
         rig, backend, 'Deadline-Ms: 3000', state='draining'
     ):
         assert answer.is_whole
+
+
+@relay_rig.with_rig
+async def test_stream_goes_on_if_a_node_does_not_say_what_it_lost(rig):
+    """Guards against ends of workers that only a silent node has seen."""
+    report = messages.NodeReport('a', '10.9.0.2', 80, False, (), (), (), (), 1)
+    rig.table.merge_report(
+        messages.ReportCopy('n2', 1, 1, 0, messages.encode_report(report))
+    )
+    rig.dialer.backend_by_host['10.9.0.2'] = lambda _: trio.sleep(9.0)
+    rig.add_server('model', 1, _end_after_two)
+    caller = rig.connect()
+    await caller.send('/resume/x', *_PROMPT, 'Connection: close')
+    await trio.sleep(0.05)
+    rig.add_server('model', 2, _answer_with(relay_rig.encode_event(3)))
+    (answer,) = answer_reader.read_answers(await caller.receive_all())
+    assert b'id: 3' in answer.body and answer.is_whole
