--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: review-cases play-site soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
+.PHONY: review-cases play-site play-day soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -88,21 +88,34 @@
 # make play-site SITE=FILE TROUBLES="srv_crash,garble extra late" FRAMING=close
 SITE :=
 TROUBLES := all
-FRAMING := chunked
+# chunked, close or mixed; empty: chunked for play-site, mixed for play-day.
+FRAMING :=
 SHARE := 0.3
-PLAY_SECONDS := 50
+# Empty: 50 for play-site, the whole day for play-day.
+PLAY_SECONDS :=
 SEED := 1
+DAY :=
+PLAYS := 1
 # Raises the share of requests that servers answer wrongly.
 X_FACTOR := 1
 # Not empty: each two troubles together.
 PAIRS :=
 
+EMULATOR = PYTHONPATH=.:platform:tests:platform/tests $(PYTHON) -m emulator \
+    --site '$(SITE)' --share $(SHARE) --seed $(SEED) --x-factor $(X_FACTOR) \
+    --at-once $(AT_ONCE) $(FRAMING:%=--framing %) \
+    $(PLAY_SECONDS:%=--seconds %) $(SOURCES:%=--sources %)
+
+play-site play-day: AT_ONCE := 1
+
 play-site: $(INSTALLED)
-	PYTHONPATH=.:platform:tests:platform/tests $(PYTHON) -m emulator \
-	    --site '$(SITE)' --troubles '$(TROUBLES)' --framing $(FRAMING) \
-	    --share $(SHARE) --seconds $(PLAY_SECONDS) --seed $(SEED) \
-	    --x-factor $(X_FACTOR) \
-	    $(PAIRS:%=--pairs) $(SOURCES:%=--sources %)
+	$(EMULATOR) --troubles '$(TROUBLES)' $(PAIRS:%=--pairs)
+
+# Plays a day of a site file, or one of a file of its own, e.g.:
+# make play-day SITE=FILE DAY=deploy/days/store-outages.toml SEED=7
+# PLAYS=3 AT_ONCE=2: seeds 7, 8 and 9, two plays at once.
+play-day: $(INSTALLED)
+	$(EMULATOR) --day '$(or $(DAY),$(error name a DAY))' --plays $(PLAYS)
 
 # Plays the cases of the review against the build of deploy/system.toml, which
 # must be in target/deps.
