--- a/tests/cover/test_emulator_days.py
+++ b/tests/cover/test_emulator_days.py
@@ -86,7 +86,7 @@
         ('kind = "hup", at = 1, service = "@s1"', "service '@s1' is unknown"),
         ('kind = "burst", at = 1, class = "no"', "class 'no' is unknown"),
         ('kind = "lossy", at = 1, zone = "no"', "zone 'no' is unknown"),
-        ('kind = "hup", at = 1, share = "x"', 'could not convert'),
+        ('kind = "hup", at = 1, share = "x"', "'x', in kind = hup"),
     ],
 )
 def test_a_day_with_a_bad_entry_is_refused(tmp_path, capsys, entry, reason):
@@ -105,7 +105,7 @@
         ('no.toml', '', 'no.toml cannot be read'),
         ('own.toml', 'plan = ', 'own.toml is not TOML'),
         ('own.toml', 'plan = [3]', 'day own.toml: 3 is no entry'),
-        ('own.toml', 'plan = 3', 'day own.toml: '),
+        ('own.toml', 'plan = 3', 'day own.toml: plan is 3; write a list'),
         (
             'own.toml',
             'closing = { kind = "flood" }',
