Let the measured speed of a plain server count less with its age

Cause: a node sends a plain request to the server that it measured as fastest, and only a request measures a speed.

Change: the speed that a node expects of a server goes from what it measured to 1.25 times the fastest, by 1/e in 10 s or in 20 requests of the service for each of its servers, whichever is later. Requests whose target a server of the lowest speed would miss trust the measurement six times longer, those whose deadline it would miss always. No request leaves its data centre for a measurement. A measurement after half of that time weighs 0.6 instead of 0.2, up to 8 times the expected speed. Engines are placed as before.

The load that answers report says nothing of a server that gets no request.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -140,6 +140,8 @@
             return
         measured_s = max(_MIN_MEASURED_S, now_s - sent_at_s)
         self.loads.record_speed(
-            placed.view.server, placed.expected_s / measured_s
+            placed.view.server,
+            placed.expected_s / measured_s,
+            placed.view.speed_age,
         )
         placed.reservation.record_first_event(measured_s)
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/load_tracker.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/load_tracker.py
@@ -13,12 +13,10 @@
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.policy import server_view
+from foxtailrelay_node.internal.relay.policy import speed_estimate
 
-# Weight of a new sample in the moving averages of speed and failures.
+# Weight of a new sample in the moving average of failures.
 _SMOOTHING_FACTOR = 0.2
-# Bounds of a server's speed, as multiples of the service's usual one.
-_MIN_SPEED = 0.1
-_MAX_SPEED = 4.0
 # Time for which a server is avoided after a failure; each further failure in a
 # row doubles it.
 _INITIAL_AVOID_S = 0.5
@@ -38,7 +36,9 @@
 class _ServerStats:
     """Statistics of one server instance."""
 
-    def __init__(self, kv_capacity_tokens: int, now_s: float) -> None:
+    def __init__(
+        self, kv_capacity_tokens: int, now_s: float, sent_number: int
+    ) -> None:
         self.running = moving_average.MovingAverage(now_s)
         self.pending_tokens = moving_average.MovingAverage(now_s)
         self.speed = 1.0
@@ -48,6 +48,8 @@
         self.reported: answer_head.ReportedLoad | None = None
         self.reported_at_s = -math.inf
         self.last_used_s = now_s
+        self.sent_at_s = now_s
+        self.sent_number = sent_number
         self.prefixes = prefix_cache_tracker.PrefixCacheTracker(
             kv_capacity_tokens
         )
@@ -69,6 +71,10 @@
             collections.defaultdict(dict)
         )
         self._loaded_servers_by_node: dict[str, list[str]] = {}
+        self._sent_by_service: collections.Counter[str] = collections.Counter()
+        self._keys_by_service: dict[str, set[tuple[str, int]]] = (
+            collections.defaultdict(set)
+        )
 
     def view(
         self,
@@ -93,6 +99,13 @@
             running = max(
                 running, stats.reported.running + stats.reported.waiting
             )
+        speed_age = 0.0
+        if not kv_capacity_tokens:
+            speed_age = speed_estimate.age(
+                now_s - stats.sent_at_s,
+                self._sent_by_service[server.service] - stats.sent_number,
+                len(self._keys_by_service[server.service]),
+            )
         return server_view.ServerView(
             server,
             running,
@@ -101,6 +114,7 @@
             stats.prefixes.cached_tokens(parts),
             stats.failure_share,
             now_s < stats.avoid_until_s,
+            speed_age,
         )
 
     def own_running(self, server: backend_server.BackendServer) -> int:
@@ -116,6 +130,9 @@
         """Record that a request is being sent."""
         stats = self._stats(server)
         now_s = self._clock.boot_s()
+        self._sent_by_service[server.service] += 1
+        stats.sent_number = self._sent_by_service[server.service]
+        stats.sent_at_s = now_s
         stats.running.add(1, now_s)
         stats.pending_tokens.add(uncached_tokens, now_s)
         stats.prefixes.record_prompt(parts)
@@ -132,13 +149,24 @@
         self._stats(server).running.add(-1, self._clock.boot_s())
 
     def record_speed(
-        self, server: backend_server.BackendServer, ratio: float
+        self,
+        server: backend_server.BackendServer,
+        ratio: float,
+        speed_age: float = 0.0,
     ) -> None:
-        """Record the ratio of expected to measured time."""
+        """Record the ratio of expected to measured time.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The server.
+        ratio : float
+            Expected by measured time.
+        speed_age : float
+            Age of the speed when the request was placed, in lifetimes.
+        """
         stats = self._stats(server)
-        speed = stats.speed * min(2.0, max(0.5, ratio))
-        average = stats.speed + _SMOOTHING_FACTOR * (speed - stats.speed)
-        stats.speed = min(_MAX_SPEED, max(_MIN_SPEED, average))
+        stats.speed = speed_estimate.update(stats.speed, ratio, speed_age)
 
     def record_reported_load(
         self,
@@ -216,6 +244,8 @@
                 and not stats.running.current
             ):
                 del self._stats_by_key[key]
+                for keys in self._keys_by_service.values():
+                    keys.discard(key)
         for server_id, loads in list(self._peer_loads_by_server.items()):
             if not loads:
                 del self._peer_loads_by_server[server_id]
@@ -226,7 +256,12 @@
         now_s = self._clock.boot_s()
         stats = self._stats_by_key.get(server.instance_key)
         if stats is None:
-            stats = _ServerStats(kv_capacity_tokens, now_s)
+            stats = _ServerStats(
+                kv_capacity_tokens,
+                now_s,
+                self._sent_by_service[server.service],
+            )
             self._stats_by_key[server.instance_key] = stats
+            self._keys_by_service[server.service].add(server.instance_key)
         stats.last_used_s = now_s
         return stats
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher.py
@@ -61,6 +61,7 @@
     suspect_ids: tuple[str, ...]
     admission: brittle_admission.Admission | None
     sender: tuple[str, int]
+    speed_age: float
 
 
 class _Overload(typing.NamedTuple):
@@ -196,7 +197,9 @@
             self._record_first_event(note.booking, reservation)
             measured_s = max(_MIN_MEASURED_S, note.first_us / 1e6)
             self._loads.record_speed(
-                reservation.server, reservation.expected_s / measured_s
+                reservation.server,
+                reservation.expected_s / measured_s,
+                reservation.speed_age,
             )
             return
         self._remove(note.booking, reservation)
@@ -309,6 +312,7 @@
             _suspect_ids(call),
             admission,
             (call.node_id, call.incarnation),
+            result.view.speed_age,
         )
 
     def _with_room(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/plain_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/plain_placer.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.policy import placer
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay.policy import server_view
+from foxtailrelay_node.internal.relay.policy import speed_estimate
 
 # Assumed while no answer of the service has been measured.
 DEFAULT_SERVICE_TIME_S = 0.025
@@ -22,7 +23,8 @@
     Designed for short requests from many nodes that receive each other's
     loads with a delay, and for servers with a few slots.  Among servers
     of equal cost, a hash of the request id decides, so that nodes with the
-    same stale view do not all choose the same server.
+    same stale view do not all choose the same server.  What was measured of
+    a server that gets no requests counts less with time.
 
     Parameters
     ----------
@@ -42,10 +44,12 @@
                 'no server is listed', 1.0, False
             )
         usable = [v for v in views if not v.is_avoided] or list(views)
+        fastest = max(v.speed for v in usable)
+        has_local = any(v.server.zone == demand.zone for v in usable)
         chosen = min(
             usable,
             key=lambda v: (
-                self._cost_s(demand, v),
+                self._cost_s(demand, v, fastest, has_local),
                 rendezvous_hash.weight(demand.request_id, v.server.id),
             ),
         )
@@ -63,11 +67,29 @@
         return self._service_time_s * (1 + rounds) / view.speed
 
     def _cost_s(
-        self, demand: demands.Demand, view: server_view.ServerView
+        self,
+        demand: demands.Demand,
+        view: server_view.ServerView,
+        fastest: float,
+        has_local: bool,
     ) -> float:
+        is_remote = view.server.zone != demand.zone
+        unmeasured = fastest
+        # No request leaves its data centre only for a measurement.
+        if not (is_remote and has_local):
+            unmeasured *= speed_estimate.OPTIMISM
         fullness = view.running / max(1, view.server.slots)
-        cost_s = self._service_time_s * (1 + fullness) / view.speed
+        nominal_s = self._service_time_s * (1 + fullness)
+        speed = speed_estimate.expected(
+            view.speed,
+            unmeasured,
+            view.speed_age,
+            nominal_s / speed_estimate.MIN_SPEED,
+            demand.target_s,
+            demand.remaining_s,
+        )
+        cost_s = nominal_s / speed
         cost_s += _FAILURE_COST_S * view.failure_share
-        if view.server.zone != demand.zone:
+        if is_remote:
             cost_s += _OTHER_ZONE_COST_S
         return cost_s
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/server_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/server_view.py
@@ -25,6 +25,9 @@
         Share of recent attempts that the server failed, 0 to 1.
     is_avoided : bool
         Whether the server has just failed.
+    speed_age : float
+        Age of the measured speed in lifetimes; 0 for engines, whose speed is
+        trusted always.
     """
 
     server: backend_server.BackendServer
@@ -34,3 +37,4 @@
     cached_tokens: int
     failure_share: float
     is_avoided: bool
+    speed_age: float = 0.0
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -45,6 +45,7 @@
 from foxtailrelay_node.internal.relay.policy import quarantine_probes
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay.policy import request_fingerprint
+from foxtailrelay_node.internal.relay.policy import speed_estimate
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_version
 from foxtailrelay_node.internal.relay import request_timer
@@ -68,6 +69,7 @@
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
 from cover.relay import test_peer_memory as peer_memories
+from cover.relay import test_plain_server_speeds as speeds
 from cover.relay import test_quota as quotas
 from cover.relay import test_repeated_requests as repeats
 from cover.relay import test_request_guarantees as checks
@@ -166,6 +168,18 @@
         _set(answer_head.AnswerHead, 'request_id', 'r1'),
         checks.test_answer_to_another_request_is_not_forwarded,
     ),
+    'the measured speed of a plain server is trusted always': (
+        _set(speed_estimate, 'age', _always(0.0)),
+        lambda: speeds.test_server_that_is_fast_again_gets_requests(3, 40.0),
+    ),
+    'nodes with few requests try slow servers as often as others': (
+        _set(speed_estimate, '_LIFETIME_REQUESTS', 0.01),
+        lambda: speeds.test_server_that_stays_slow_gets_few_requests(9, 10.0),
+    ),
+    'requests that cannot wait try slow servers': (
+        _set(speed_estimate, '_LATE_LIFETIME_FACTOR', 1.0),
+        speeds.test_requests_that_cannot_wait_seldom_try_a_slow_server,
+    ),
     'connections with unexpected bytes are reused': (
         _set(
             backend_connection.BackendConnection,
