Split reading requests from a caller's connection

Change: RequestReader reads requests and what arrives behind them; RawRequest and Refused have files of their own. No change of behaviour. The mutant of bodies without room sets the method where it is now.

--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/request_reader.py
@@ -0,0 +1,239 @@
+"""Reads the requests on a connection."""
+
+import h11
+import logbook
+import trio
+
+from foxtailrelay_node.internal.memory import memory_lease
+from foxtailrelay_node.internal.relay.catalogue import caller_limits
+from foxtailrelay_node.internal.relay.http import answer_writer
+from foxtailrelay_node.internal.relay.http import raw_request
+from foxtailrelay_node.internal.relay.http import refused as refusals
+from foxtailrelay_node.internal.relay.http import sockets
+
+_LOG = logbook.Logger('foxtailrelay.callers')
+_READ_BYTES = 65536
+# Limit of bytes read ahead while a request is being answered; any more stay
+# in the socket, and a close by the caller is then detected later.
+_MAX_READ_AHEAD_BYTES = 65536
+_BODY_PROGRESS_TIMEOUT_S = 5.0
+
+
+class IncompleteRequestError(Exception):
+    """The node exits before the rest of a request has arrived."""
+
+
+class NoRoomError(Exception):
+    """The node has no memory for more of a request."""
+
+
+class RequestReader:
+    """Reads requests in sequence, and what arrives behind each of them.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The accepted connection.
+    lease : MemoryLease
+        Holds the bytes of requests.
+    header_bytes : int
+        Limit of the head of the first request.
+
+    Attributes
+    ----------
+    http : h11.Connection
+        Parser of the current request, and encoder of its answer.
+    has_dropped_input : bool
+        Whether bytes were dropped for lack of memory, so that no further
+        request can be read.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        lease: memory_lease.MemoryLease,
+        header_bytes: int,
+    ) -> None:
+        self.has_dropped_input = False
+        self._stream = stream
+        self._lease = lease
+        self._idle_scope = trio.CancelScope()
+        self._receive_scope = trio.CancelScope()
+        self._read_ahead = bytearray()
+        # What a request occupies once it is no longer buffered; 0 within its
+        # head.
+        self._decoded_bytes = 0
+        self.http = _new_http(header_bytes)
+
+    def close(self) -> None:
+        """Release the memory of the requests."""
+        self._lease.close()
+
+    def start_request(self, header_bytes: int) -> None:
+        """Prepare to read the next request, from what is read ahead first."""
+        self._read_ahead[:0] = self.http.trailing_data[0]
+        self._decoded_bytes = 0
+        self._release_all_but(len(self._read_ahead))
+        self.http = _new_http(header_bytes)
+
+    def stop_waiting(self) -> None:
+        """End the wait for the first byte of a request."""
+        self._idle_scope.cancel()
+
+    def refuse_if_incomplete(self) -> None:
+        """Refuse a request now that has not arrived as a whole."""
+        self._receive_scope.cancel()
+
+    def has_input(self) -> bool:
+        """Whether more than empty lines has arrived behind the request."""
+        return bool(
+            self._read_ahead.strip(b'\r\n')
+            or self.http.trailing_data[0].strip(b'\r\n')
+            or not sockets.has_no_pending_input(self._stream)
+        )
+
+    async def wait_for_first_byte(self, timeout_s: float) -> bool:
+        """Wait for a request; return False on close or idle timeout."""
+        self._idle_scope = trio.CancelScope()
+        with self._idle_scope, trio.move_on_after(timeout_s):
+            # Empty lines before a request are ignored (RFC 9112, 2.2).
+            while not (data := self._read_ahead.lstrip(b'\r\n')):
+                received = await self._receive_some()
+                if not received:
+                    return False
+                self._read_ahead[:] = received
+            self._read_ahead[:] = data
+            return True
+        return False
+
+    async def receive_head(
+        self, timeout_s: float
+    ) -> h11.Request | h11.ConnectionClosed | None:
+        """Receive the head of a request, or None after the timeout."""
+        self._hold(len(self._read_ahead) - self._lease.held_bytes)
+        with trio.move_on_after(timeout_s):
+            return await self._next_event()
+        return None
+
+    def has_room_for(self, body_bytes: int) -> bool:
+        """Whether a body of some length could be held now."""
+        missing = max(0, body_bytes - self._lease.held_bytes)
+        if not self._lease.try_hold(missing):
+            return False
+        # Held as it arrives: a slow caller must not reserve room for it.
+        self._lease.release(missing)
+        return True
+
+    def end_head(self, request: raw_request.RawRequest) -> None:
+        """Count a head as what the request occupies from now on."""
+        self._decoded_bytes = request.count_head_bytes()
+
+    async def collect_body(
+        self,
+        request: raw_request.RawRequest,
+        limits: caller_limits.CallerLimits,
+    ) -> raw_request.RawRequest | refusals.Refused:
+        """Receive the body of a request, and return the request with it."""
+        body = bytearray()
+        while True:
+            event = await self._next_body_event()
+            if event is None:
+                return refusals.Refused(
+                    408, 'the body was not received in time'
+                )
+            if isinstance(event, h11.EndOfMessage):
+                break
+            body += event.data
+            self._decoded_bytes += len(event.data)
+            if len(body) > limits.body_bytes:
+                return refusals.Refused(
+                    413, f'the body is longer than {limits.body_bytes} bytes'
+                )
+        return request._replace(body=bytes(body))
+
+    async def read_ahead_until_close(self) -> bool:
+        """Read ahead while there is room.
+
+        Returns whether the caller has closed the connection.
+        """
+        buffered = len(self.http.trailing_data[0])
+        while (
+            room := _MAX_READ_AHEAD_BYTES - buffered - len(self._read_ahead)
+        ) > 0:
+            try:
+                data = await self._stream.receive_some(room)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b''
+            if not data:
+                return True
+            if not self._lease.try_hold(len(data)):
+                self._drop_input(len(data))
+                return False
+            self._read_ahead += data
+        return False
+
+    def _drop_input(self, count: int) -> None:
+        """End the connection after the answer, without later requests."""
+        _LOG.info(
+            'read-ahead-dropped',
+            extra={
+                'bytes': count,
+                'reason': refusals.NO_ROOM,
+                'effect': 'connection closed after the answer',
+            },
+        )
+        self.has_dropped_input = True
+
+    async def _next_body_event(self):
+        """Return the next event of a body, or None after a timeout."""
+        with trio.move_on_after(_BODY_PROGRESS_TIMEOUT_S):
+            event = await self._next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise answer_writer.CallerDisconnected(
+                    'connection closed within the body'
+                )
+            return event
+        return None
+
+    async def _next_event(self):
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._decoded_bytes:
+                # Nothing but the start of a chunk's line is still buffered.
+                self._release_all_but(
+                    self._decoded_bytes + len(self._read_ahead)
+                )
+            if self._read_ahead:
+                data = bytes(self._read_ahead[:_READ_BYTES])
+                del self._read_ahead[:_READ_BYTES]
+            else:
+                data = await self._receive_or_refuse()
+                self._hold(len(data))
+            self.http.receive_data(data)
+
+    async def _receive_or_refuse(self) -> bytes:
+        """Receive more of a request, unless it is to be refused."""
+        with trio.CancelScope() as self._receive_scope:
+            return await self._receive_some()
+        raise IncompleteRequestError(
+            'the node is about to exit, and the request is not complete'
+        )
+
+    async def _receive_some(self) -> bytes:
+        try:
+            return await self._stream.receive_some(_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise answer_writer.CallerDisconnected(str(error)) from error
+
+    def _hold(self, count: int) -> None:
+        if count > 0 and not self._lease.try_hold(count):
+            raise NoRoomError(refusals.NO_ROOM)
+
+    def _release_all_but(self, count: int) -> None:
+        self._lease.release(max(0, self._lease.held_bytes - count))
+
+
+def _new_http(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
--- a/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/request_relay.py
@@ -11,6 +11,8 @@
 from foxtailrelay_node.internal.relay.catalogue import route as routes
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.http import caller_connection
+from foxtailrelay_node.internal.relay.http import raw_request
+from foxtailrelay_node.internal.relay.http import refused as refusals
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.policy import quota as quotas
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
@@ -81,7 +83,7 @@
 
     async def handle(
         self,
-        request: caller_connection.RawRequest,
+        request: raw_request.RawRequest,
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer one request."""
@@ -103,7 +105,7 @@
 
     async def refuse(
         self,
-        refused: caller_connection.Refused,
+        refused: refusals.Refused,
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer an invalid request."""
@@ -124,7 +126,7 @@
 
     async def refuse_early(
         self,
-        request: caller_connection.RawRequest,
+        request: raw_request.RawRequest,
         connection: caller_connection.CallerConnection,
     ) -> bool:
         """Refuse a request whose caller waits before it sends the body."""
@@ -153,7 +155,7 @@
 
     async def _handle(
         self,
-        raw: caller_connection.RawRequest,
+        raw: raw_request.RawRequest,
         connection: caller_connection.CallerConnection,
     ) -> None:
         request = self._wire.decode_request(
--- a/packages/node/src/foxtailrelay_node/internal/relay/status_handler.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/status_handler.py
@@ -6,6 +6,8 @@
 
 from foxtailrelay_node.internal.relay.catalogue import caller_limits
 from foxtailrelay_node.internal.relay.http import caller_connection
+from foxtailrelay_node.internal.relay.http import raw_request
+from foxtailrelay_node.internal.relay.http import refused as refusals
 
 # Checks have no body.
 _MAX_BODY_BYTES = 4096
@@ -34,7 +36,7 @@
 
     async def handle(
         self,
-        request: caller_connection.RawRequest,
+        request: raw_request.RawRequest,
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer with the status of the source."""
@@ -43,7 +45,7 @@
 
     async def refuse(
         self,
-        refused: caller_connection.Refused,
+        refused: refusals.Refused,
         connection: caller_connection.CallerConnection,
     ) -> None:
         """Answer an invalid request."""
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -33,6 +33,7 @@
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import joined_heads
+from foxtailrelay_node.internal.relay.http import request_reader
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import gossip
 from foxtailrelay_node.internal.relay.peers import origin_transfer
@@ -595,9 +596,7 @@
         peer_memories.test_unfinished_messages_are_held_within_the_budget,
     ),
     'bodies without room are read': (
-        _set(
-            caller_connection.CallerConnection, '_has_room_for', _always(True)
-        ),
+        _set(request_reader.RequestReader, 'has_room_for', _always(True)),
         lambda: memories.test_body_without_room_is_refused_before_it_is_sent(
             ()
         ),
