Split topics and plain types from gossip

Change: TopicExchange compares copies of topics and exchanges their records; the node's identity, the shared state, what is pending and ages in messages have files of their own. No change of behaviour. The mutants of lost configurations and of ages set the same functions where they are now.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -16,9 +16,11 @@
 from foxtailrelay_node.internal.relay.peers import exchange_client
 from foxtailrelay_node.internal.relay.peers import exchange_server
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import node_registry
 from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import peer_signs
+from foxtailrelay_node.internal.relay.peers import shared_state
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 from foxtailrelay_node.internal.relay import relay_metrics
@@ -94,7 +96,7 @@
     ) -> None:
         self._view = view
         self.lease = lease_view.LeaseView(clock)
-        self.identity = gossip_module.Identity(
+        self.identity = node_identity.NodeIdentity(
             settings.cluster,
             settings.node_id,
             settings.zone,
@@ -105,7 +107,7 @@
         )
         self.gossip = gossip_module.Gossip(
             self.identity,
-            gossip_module.SharedState(
+            shared_state.SharedState(
                 view.followers,
                 view.loads,
                 view.quota,
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatcher_selector.py
@@ -1,7 +1,7 @@
 """Selects the node that places the requests for a service."""
 
 from foxtailrelay_node.internal.relay import clock as clocks
-from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.policy import limit_share as limit_shares
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
@@ -36,7 +36,7 @@
 
     def __init__(
         self,
-        identity: gossip.Identity,
+        identity: node_identity.NodeIdentity,
         peers: peer_table.PeerTable,
         clock: clocks.Clock,
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_client.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
 from foxtailrelay_node.internal.relay.peers import peer_versions
+from foxtailrelay_node.internal.relay.peers import pending_topics
 
 _LOG = logbook.Logger('foxtailrelay.peers')
 # Smallest random fraction of the interval to wait between exchanges.
@@ -141,7 +142,7 @@
 
     async def _exchange_until_closed(self, link: peer_link.PeerLink) -> str:
         versions = peer_versions.PeerVersions()
-        pending = gossip_module.NO_PENDING_TOPICS
+        pending = pending_topics.NO_PENDING_TOPICS
         try:
             while True:
                 requested_at_s = self._clock.boot_s()
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -1,108 +1,28 @@
 """Builds and applies the gossip exchanges between nodes."""
 
-import collections
 import math
 import typing
 
 from foxtailrelay_core import messages
 from foxtailrelay_core import record_fields
-from foxtailrelay_core import store_position
 import logbook
 
-from foxtailrelay_node.internal.relay.backends import crash_quarantine
-from foxtailrelay_node.internal.relay.backends import departure_notices
-from foxtailrelay_node.internal.relay.backends import load_tracker
-from foxtailrelay_node.internal.relay.backends import server_limits
 from foxtailrelay_node.internal.relay import clock as clocks
-from foxtailrelay_node.internal.relay import corrected_clock
-from foxtailrelay_node.internal.relay.duties import lease_view
-from foxtailrelay_node.internal.relay.duties import usage_counter
 from foxtailrelay_node.internal.relay.peers import gossip_params
+from foxtailrelay_node.internal.relay.peers import message_age
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import peer_versions
-from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
-from foxtailrelay_node.internal.relay.policy import quota as quotas
+from foxtailrelay_node.internal.relay.peers import pending_topics
+from foxtailrelay_node.internal.relay.peers import shared_state
+from foxtailrelay_node.internal.relay.peers import topic_exchange
 from foxtailrelay_node.internal.relay.state import rejection_log
-from foxtailrelay_node.internal.relay.state import topic_follower
 
 _LOG = logbook.Logger('foxtailrelay.peers')
 _MAX_FORWARDED_REPORTS = 100
 # In a full mesh a peer normally gets each report from the reporting node;
 # copies only serve nodes that cannot reach each other.
 _FULL_MESH_FORWARD_INTERVAL_S = 2.5
-# Start of a request for all records of a topic.
-_ALL_RECORDS = -1
-_MAX_LOST_REQUESTS = 20
-# Half of a frame, which carries reports as well.
-_MAX_TOPIC_BYTES = 4 << 20
-
-
-class Identity(typing.NamedTuple):
-    """Name, address and capacity of this node, for its peers.
-
-    Parameters
-    ----------
-    cluster, node_id, zone, host : str
-        Names, and the IP address.
-    peer_port : int
-        Port on which it accepts connections of peers.
-    incarnation : int
-        Start time of the process, in milliseconds of Unix time.
-    centicores : int
-        CPU capacity, in hundredths of a core.
-    """
-
-    cluster: str
-    node_id: str
-    zone: str
-    host: str
-    peer_port: int
-    incarnation: int
-    centicores: int = 100
-
-    @property
-    def start_id(self) -> str:
-        """Id of this start of the node: its name and incarnation."""
-        return f'{self.node_id}/{self.incarnation}'
-
-
-class SharedState(typing.NamedTuple):
-    """The components of a node whose state is gossiped."""
-
-    followers: tuple[topic_follower.TopicFollower, ...]
-    loads: load_tracker.LoadTracker
-    quota: quotas.Quota
-    budget: cluster_retry_budget.ClusterRetryBudget
-    usage: usage_counter.UsageCounter
-    time: corrected_clock.CorrectedClock
-    lease: lease_view.LeaseView
-    departures: departure_notices.DepartureNotices
-    quarantine: crash_quarantine.CrashQuarantine
-    limits: server_limits.ServerLimits
-    brittleness: server_limits.ServerLimits
-
-
-class PendingTopics(typing.NamedTuple):
-    """Topic requests and records to send with the next exchange.
-
-    Parameters
-    ----------
-    wants : tuple of TopicWant
-        Records to request from the peer.
-    topics : tuple of TopicRecords
-        Records that the peer requested.
-    """
-
-    wants: tuple[messages.TopicWant, ...]
-    topics: tuple[messages.TopicRecords, ...]
-
-    @property
-    def is_urgent(self) -> bool:
-        """Whether the exchange should be sent without delay."""
-        return bool(self.wants or self.topics)
-
-
-NO_PENDING_TOPICS = PendingTopics((), ())
 
 
 class Gossip:
@@ -110,7 +30,7 @@
 
     Parameters
     ----------
-    identity : Identity
+    identity : NodeIdentity
         This node.
     state : SharedState
         State that is sent to peers and updated from their exchanges.
@@ -122,8 +42,8 @@
 
     def __init__(
         self,
-        identity: Identity,
-        state: SharedState,
+        identity: node_identity.NodeIdentity,
+        state: shared_state.SharedState,
         clock: clocks.Clock,
         window_s: float,
     ) -> None:
@@ -136,15 +56,13 @@
         self.is_cut_off: typing.Callable[[], bool] = lambda: False
         self.registered_count: typing.Callable[[], int | None] = lambda: None
         self._state = state
+        self._topics = topic_exchange.TopicExchange(state.followers, clock)
         self._clock = clock
         self._window_s = window_s
         self._sequence = 0
         self._built_at_s = clock.boot_s()
         self._own_body = b''
         self._rejections = rejection_log.RejectionLog(clock)
-        self._lost_requests: collections.Counter[tuple[str, int]] = (
-            collections.Counter()
-        )
         self.renew_report()
 
     def renew_report(self) -> None:
@@ -177,7 +95,7 @@
     def build_exchange(
         self,
         versions: peer_versions.PeerVersions,
-        pending: 'PendingTopics',
+        pending: pending_topics.PendingTopics,
         is_answer: bool,
     ) -> messages.Exchange:
         """Build an exchange for a peer.
@@ -201,7 +119,7 @@
             self.identity.node_id,
             self.identity.incarnation,
             self._sequence,
-            _age_ms(now_s, self._built_at_s),
+            message_age.age_ms(now_s, self._built_at_s),
             self._own_body,
         )
         copies = [own]
@@ -219,7 +137,7 @@
         return messages.Exchange(
             self.identity.cluster,
             int(self._state.time.now_s() * 1000),
-            tuple(self._build_mark(f, now_s) for f in self._state.followers),
+            self._topics.build_marks(now_s),
             self._state.lease.newest_mark(),
             tuple(copies),
             pending.wants,
@@ -237,7 +155,9 @@
     ) -> list[messages.ReportCopy]:
         """Return copies of the reports that the peer is missing."""
         missing = [
-            peer.copy._replace(age_ms=_age_ms(now_s, peer.made_at_s))
+            peer.copy._replace(
+                age_ms=message_age.age_ms(now_s, peer.made_at_s)
+            )
             for peer in reports
             if versions.should_send(
                 peer.start_hash, peer.copy.sequence, now_s, interval_s
@@ -250,7 +170,7 @@
         exchange: messages.Exchange,
         versions: peer_versions.PeerVersions,
         requested_at_s: float | None,
-    ) -> 'PendingTopics':
+    ) -> pending_topics.PendingTopics:
         """Apply an exchange received from a peer.
 
         Parameters
@@ -272,7 +192,7 @@
             _LOG.warning(
                 'peer-of-other-cluster', extra={'cluster': exchange.cluster}
             )
-            return NO_PENDING_TOPICS
+            return pending_topics.NO_PENDING_TOPICS
         versions.record_held(exchange.have_starts, exchange.have_sequences)
         for copy in exchange.reports:
             versions.record_held(
@@ -288,10 +208,10 @@
         if requested_at_s is None:
             requested_at_s = -math.inf
         for topic in exchange.topics:
-            self._apply_topic_records(topic, requested_at_s)
-        wants = self._apply_marks(exchange.marks, requested_at_s)
-        return PendingTopics(
-            tuple(wants), tuple(self._build_topics(exchange.wants))
+            self._topics.apply_records(topic, requested_at_s)
+        wants = self._topics.apply_marks(exchange.marks, requested_at_s)
+        return pending_topics.PendingTopics(
+            tuple(wants), tuple(self._topics.build_topics(exchange.wants))
         )
 
     def _merge_report(self, copy: messages.ReportCopy) -> None:
@@ -319,70 +239,6 @@
         elif ended is not None:
             self._apply_counts(ended)
 
-    def _build_topics(
-        self, wants: typing.Iterable[messages.TopicWant]
-    ) -> typing.Iterator[messages.TopicRecords]:
-        """Return records for one message, which the peer has room for.
-
-        The peer asks again for a topic that is left out.
-        """
-        left_bytes = _MAX_TOPIC_BYTES
-        for want in wants:
-            topic = self._build_topic_records(want)
-            if topic is None:
-                continue
-            topic_bytes = sum(len(r.value) for r in topic.records)
-            if topic_bytes <= left_bytes:
-                left_bytes -= topic_bytes
-                yield topic
-
-    def _build_topic_records(
-        self, want: messages.TopicWant
-    ) -> messages.TopicRecords | None:
-        """Return the records of a topic that a peer requested."""
-        follower = self._follower(want.topic)
-        if follower is None or not follower.view.is_loaded:
-            return None
-        view = follower.view
-        if view.is_truncated:
-            # Which records are left out differs between nodes.
-            return None
-        is_full, records = view.changes_since(want.from_offset)
-        if sum(len(r.value or b'') for r in records) > _MAX_TOPIC_BYTES:
-            # The peer reads the store itself once its copy is too old.
-            return None
-        return messages.TopicRecords(
-            want.topic,
-            view.end,
-            _age_ms(self._clock.boot_s(), view.as_of_s),
-            is_full,
-            tuple(
-                messages.TopicRecord(
-                    r.key, r.offset, r.value or b'', r.value is None
-                )
-                for r in records
-            ),
-        )
-
-    def _apply_topic_records(
-        self, answer: messages.TopicRecords, requested_at_s: float
-    ) -> None:
-        """Apply topic records that were requested from a peer."""
-        follower = self._follower(answer.topic)
-        if follower is None:
-            return
-        as_of_s = requested_at_s - answer.age_ms / 1000
-        _LOG.info(
-            'topic-from-peer',
-            extra={
-                'topic': answer.topic,
-                'end': answer.end,
-                'had': follower.view.end,
-                'records': len(answer.records),
-            },
-        )
-        follower.apply_peer_records(answer, as_of_s)
-
     def _apply_report(self, peer: peer_table.PeerReport) -> None:
         state = self._state
         age_s = max(0.0, self._clock.boot_s() - peer.made_at_s)
@@ -413,51 +269,6 @@
         state.budget.record_peer_attempt_counts(start_id, peer.report.tries)
         state.usage.merge_peer_usages(start_id, peer.report.usages)
 
-    def _apply_marks(
-        self, marks: typing.Iterable[messages.TopicMark], requested_at_s: float
-    ) -> list[messages.TopicWant]:
-        wants = []
-        for mark in marks:
-            follower = self._follower(mark.topic)
-            if follower is None or mark.end < 0:
-                continue
-            view = follower.view
-            is_required = mark.end <= view.end and self._is_lost_version(
-                follower, mark.version
-            )
-            follower.listener.handle_peer_version(mark.version, is_required)
-            if is_required and self._may_request_lost(mark):
-                wants.append(messages.TopicWant(mark.topic, _ALL_RECORDS))
-            if mark.end == view.end:
-                as_of_s = requested_at_s - mark.age_ms / 1000
-                view.as_of_s = max(view.as_of_s, as_of_s)
-            elif mark.end > view.end:
-                wants.append(messages.TopicWant(mark.topic, view.end))
-        return wants
-
-    @staticmethod
-    def _is_lost_version(
-        follower: topic_follower.TopicFollower, version: int
-    ) -> bool:
-        """Whether a restore of the store has lost a peer's version.
-
-        The peer has read no further than this node, yet its content is newer.
-        """
-        return (
-            store_position.era_of(follower.view.end) > 0
-            and version > follower.listener.content_version()
-        )
-
-    def _may_request_lost(self, mark: messages.TopicMark) -> bool:
-        """Whether a lost version has not been requested too often already.
-
-        A node that cannot decode the version would request it for ever.
-        """
-        self._lost_requests[mark.topic, mark.version] += 1
-        return (
-            self._lost_requests[mark.topic, mark.version] <= _MAX_LOST_REQUESTS
-        )
-
     def _update_member_counts(self) -> None:
         """Update the node counts by which cluster-wide limits are split."""
         live = self.peers.live()
@@ -486,27 +297,3 @@
         for ended in self.peers.ended():
             if ended.made_at_s < oldest_s:
                 self._state.budget.remove_peer(ended.start_id)
-
-    def _build_mark(
-        self, follower: topic_follower.TopicFollower, now_s: float
-    ) -> messages.TopicMark:
-        view = follower.view
-        if not view.is_loaded:
-            return messages.TopicMark(follower.topic, -1, 0)
-        return messages.TopicMark(
-            follower.topic,
-            view.end,
-            _age_ms(now_s, view.as_of_s),
-            follower.listener.content_version(),
-        )
-
-    def _follower(self, topic: str) -> topic_follower.TopicFollower | None:
-        for follower in self._state.followers:
-            if follower.topic == topic:
-                return follower
-        return None
-
-
-def _age_ms(now_s: float, then_s: float) -> int:
-    """Return an age in milliseconds, rounded up so as not to look fresher."""
-    return max(0, min(0xFFFFFFFF, int((now_s - then_s) * 1000) + 1))
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -22,7 +22,7 @@
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import sockets
 from foxtailrelay_node.internal.relay import node_state
-from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import peer_signs
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
@@ -255,7 +255,9 @@
                     quarantine=self.quarantine,
                     placer=request_placer.RequestPlacer(
                         dispatcher_selector.DispatcherSelector(
-                            gossip.Identity('c', 'n1', 'a', '10.9.0.1', 80, 1),
+                            node_identity.NodeIdentity(
+                                'c', 'n1', 'a', '10.9.0.1', 80, 1
+                            ),
                             self.table,
                             self.clock,
                         ),
--- a/tests/cover/relay/test_dispatch.py
+++ b/tests/cover/relay/test_dispatch.py
@@ -5,7 +5,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import exchange_server
-from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import peer_table
 import pytest
 import trio
@@ -214,7 +214,7 @@
 
 
 def _table_and_selector(clock, own, centicores=100):
-    identity = gossip_module.Identity(
+    identity = node_identity.NodeIdentity(
         'c', own, 'a', '10.9.0.9', 80, 1, centicores
     )
     table = peer_table.PeerTable(own, clock)
--- a/tests/cover/relay/test_gossip.py
+++ b/tests/cover/relay/test_gossip.py
@@ -14,7 +14,10 @@
 from foxtailrelay_node.internal.relay.duties import usage_counter
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import gossip as gossip_module
+from foxtailrelay_node.internal.relay.peers import node_identity
 from foxtailrelay_node.internal.relay.peers import peer_versions
+from foxtailrelay_node.internal.relay.peers import pending_topics
+from foxtailrelay_node.internal.relay.peers import shared_state
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay.state import store_health
@@ -53,10 +56,10 @@
         self.quarantine = crash_quarantine.CrashQuarantine(clock)
         self.budget = cluster_retry_budget.ClusterRetryBudget(0.2, 10, 10.0)
         self.gossip = gossip_module.Gossip(
-            gossip_module.Identity(
+            node_identity.NodeIdentity(
                 cluster, name, 'a', f'10.0.0.{incarnation}', 80, incarnation
             ),
-            gossip_module.SharedState(
+            shared_state.SharedState(
                 (self.follower,),
                 self.loads,
                 self.quota,
@@ -90,7 +93,7 @@
         self.client = client
         self.server = server
         self.versions = [peer_versions.PeerVersions() for _ in range(2)]
-        self.pending = gossip_module.NO_PENDING_TOPICS
+        self.pending = pending_topics.NO_PENDING_TOPICS
         self.answered_at_s = None
 
     def exchange(self, travel_s=0.0, renews=True):
--- a/tests/cover/relay/test_peer_memory.py
+++ b/tests/cover/relay/test_peer_memory.py
@@ -9,7 +9,7 @@
 from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.duties import lease_view
 from foxtailrelay_node.internal.relay.peers import exchange_server
-from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import pending_topics
 import pytest
 import trio
 from trio import testing
@@ -121,7 +121,7 @@
 
     def apply_exchange(self, exchange, *_):
         self.exchanges.append(exchange)
-        return gossip.NO_PENDING_TOPICS
+        return pending_topics.NO_PENDING_TOPICS
 
     def build_exchange(self, *_, **__):
         return messages.Refusal('the test ends here')
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -35,10 +35,11 @@
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay.http import request_reader
 from foxtailrelay_node.internal.relay import node_state
-from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import message_age
 from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
+from foxtailrelay_node.internal.relay.peers import topic_exchange
 from foxtailrelay_node.internal.relay.policy import answer_end
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import crash_attribution
@@ -310,7 +311,7 @@
         restores.test_servers_missing_in_the_copy_are_used_for_a_while,
     ),
     'configurations lost in a restore are not taken from peers': (
-        _set(gossip.Gossip, '_is_lost_version', _always(False)),
+        _set(topic_exchange.TopicExchange, '_is_lost_version', _always(False)),
         restores.test_a_node_that_starts_after_a_restore_asks_a_peer,
     ),
     'a node that starts after a restore trusts the copy': (
@@ -378,7 +379,7 @@
         reporters.test_the_next_lease_holder_repeats_a_report_exactly,
     ),
     'the age of data from peers is ignored': (
-        lambda patch: patch.setattr(gossip, '_age_ms', _always(0)),
+        lambda patch: patch.setattr(message_age, 'age_ms', _always(0)),
         gossips.test_a_copy_from_a_peer_is_no_fresher_than_at_the_peer,
     ),
     'answers do not clear parts of prompts': (
