Play links that lose packets

The emulator printed lossy as not played.

A proxy delays a share of the packets, and what follows them, by 0.2 s, doubled each time, as TCP does until a lost packet was sent again.

No play was run.

--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -11,6 +11,10 @@
 _READ_BYTES = 65536
 _SMALL_BYTES = 2304
 _POLL_S = 0.1
+_PACKET_BYTES = 1448
+# Shortest time until TCP sends a lost packet again; it doubles each time.
+_RESEND_S = 0.2
+_MAX_RESENDS = 6
 _RESET = struct.pack('ii', 1, 0)
 
 
@@ -20,7 +24,9 @@
     ``BLACKHOLE`` forwards no data in either direction, ``ONE_WAY`` none from
     the server to the client; open connections stay open.  ``RESET`` and
     ``CLOSE`` end open and new connections.  ``HALF_OPEN`` silences the open
-    connections for good, while new ones work.
+    connections for good, while new ones work.  ``LOSSY`` delays the bytes of
+    a share of the packets, and all that follow, as TCP does until a lost
+    packet was sent again.
     """
 
     NORMAL = 'good'
@@ -32,6 +38,7 @@
     THROTTLED = 'of little bandwidth'
     SMALL_BUFFERS = 'of small buffers'
     HALF_OPEN = 'silent for good on open connections'
+    LOSSY = 'of lost packets'
 
 
 class _Link:
@@ -67,6 +74,8 @@
         self.mode = Mode.NORMAL
         self.delay_s = 0.2
         self.bytes_per_s = 20_000
+        self.loss_share = 0.03
+        self._rng = random.Random(port)
         self._server_address = (host, port)
         self._receive_buffer_bytes = receive_buffer_bytes
         self._links: set[_Link] = set()
@@ -176,11 +185,25 @@
                 await trio.sleep(self.delay_s)
             elif self.mode is Mode.THROTTLED:
                 await trio.sleep(len(data) / self.bytes_per_s)
+            elif self.mode is Mode.LOSSY:
+                await trio.sleep(self._draw_resend_s(len(data)))
             if not data:
                 await destination.send_eof()
                 return
             await destination.send_all(data)
 
+    def _draw_resend_s(self, byte_count: int) -> float:
+        """Return how long TCP takes to repeat what is lost of some bytes."""
+        total_s = 0.0
+        for _ in range(math.ceil(byte_count / _PACKET_BYTES)):
+            resends = 0
+            while (
+                resends < _MAX_RESENDS and self._rng.random() < self.loss_share
+            ):
+                total_s += _RESEND_S * 2**resends
+                resends += 1
+        return total_s
+
 
 def _shrink_buffers(stream: trio.SocketStream) -> None:
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
