--- a/tests/cover/test_emulator.py
+++ b/tests/cover/test_emulator.py
@@ -169,3 +169,37 @@
     (run,) = stand_in.stream_runs
     assert run.numbers[:3] == [1, 2, 3]
     assert len(run.numbers) >= received.count(b'id: ')
+
+
+def test_a_mute_server_begins_no_request_and_answers_health_checks(tmp_path):
+    settings = sheet_server.Settings(
+        'lm-0-1', 'v1', 1, 5, '127.0.0.1', 0, 8, 0, 1.0, 0.0, 0.01
+    )
+
+    async def ask(address, request):
+        host, _, port = address.rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(request)
+        with trio.move_on_after(1.0):
+            return await stream.receive_some()
+        return b''
+
+    async def main():
+        process = sheet_process.SheetProcess('lm', settings, tmp_path)
+        try:
+            await process.wait_until_started()
+            process.set_fault('mute', 1.0)
+            await trio.sleep(0.2)
+            health = b'GET /health HTTP/1.1\r\nHost: h\r\n\r\n'
+            answers = [
+                await ask(process.address, _STREAM),
+                await ask(process.address, health),
+            ]
+        finally:
+            process.kill()
+        return answers, process.read_record().stand_in
+
+    (answer, health), stand_in = trio.run(main)
+    assert answer == b''
+    assert health.startswith(b'HTTP/1.1 200')
+    assert (stand_in.run_ids, stand_in.fault_count) == ([], 1)
