--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -87,6 +87,16 @@
             link.end(with_reset)
         self._listener_scope.cancel()
 
+    @property
+    def link_count(self) -> int:
+        """Number of open connections."""
+        return len(self._links)
+
+    def end_links(self) -> None:
+        """Close all open connections; new ones are accepted."""
+        for link in list(self._links):
+            link.end(with_reset=False)
+
     async def end_in_turn(
         self, rng: random.Random, seconds: float, share: float = 1.0
     ) -> None:
