Keep all recent losses of watched connections of a process

What callers saw: a stream without a length that looks whole after event 2 of 4, when its worker ended and a second worker ended while the end was judged.

Cause: only the time of the last loss was kept, and told to other nodes. The verdict comes 0.25 to 2.2 s after the end, if the server is full at first; a loss in that time replaced the one at the end.

Change: the last 100 losses of a process are kept, and nodes tell each other those of the last 3 s, the latest last. The message is unchanged.

Measured: test_stream_is_not_whole_if_two_workers_end_while_it_is_judged and test_later_loss_does_not_hide_the_one_at_an_end fail without the change and pass with it (one run each).

Changed tests: those of the signs compare lists of times in place of the last time.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -309,7 +309,7 @@
   oldEndedAgesMs @0 :List(UInt32);
   oldCutAgesMs @1 :List(UInt32);
   oldBegunAgesMs @2 :List(UInt32);
-  # One at most.
+  # The latest loss is last; earlier releases read that one only.
   lostAgesMs @3 :List(UInt32);
   oldSinceAgesMs @4 :List(UInt32);
 }
--- a/packages/core/src/foxtailrelay_core/internal/process_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/process_messages.py
@@ -22,8 +22,8 @@
     Parameters
     ----------
     lost_ages_ms : tuple of int
-        Age of the last loss of a watched connection, in milliseconds at the
-        time of this message; empty if none.
+        Ages of the losses of watched connections of the last seconds, in
+        milliseconds at the time of this message; the latest loss is last.
     """
 
     lost_ages_ms: tuple[int, ...] = ()
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/process_signs.py
@@ -1,7 +1,6 @@
 """What a node sees of the processes of backend servers."""
 
 import collections
-import math
 import typing
 
 from foxtailrelay_core import messages
@@ -10,6 +9,7 @@
 
 _MAX_PROCESSES = 1000
 _MAX_CUTS = 100
+_MAX_LOSSES = 100
 # Another node asks up to this long after the end that it judges.
 _MAX_ASKED_AFTER_S = 3.0
 
@@ -37,7 +37,8 @@
 
     def record_lost(self, key: tuple[str, int], at_s: float) -> None:
         """Record that a connection on which reports came was lost."""
-        self._update(key, lost_at_s=at_s)
+        lost_at_s = [*self.find(key).lost_at_s, at_s]
+        self._update(key, lost_at_s=lost_at_s[-_MAX_LOSSES:])
 
     def record_cut(self, key: tuple[str, int], at_s: float) -> None:
         """Record that its connection ended before an answer did."""
@@ -48,10 +49,14 @@
         self, key: tuple[str, int], now_s: float
     ) -> messages.ProcessFound:
         """Return what this node has seen of a process, for another one."""
-        age_s = max(0.0, now_s - self.find(key).lost_at_s)
-        if age_s > _MAX_ASKED_AFTER_S:
-            return messages.ProcessFound()
-        return messages.ProcessFound((round(age_s * 1000),))
+        ages_s = [max(0.0, now_s - at_s) for at_s in self.find(key).lost_at_s]
+        return messages.ProcessFound(
+            tuple(
+                round(age_s * 1000)
+                for age_s in ages_s
+                if age_s <= _MAX_ASKED_AFTER_S
+            )
+        )
 
     def find(self, key: tuple[str, int]) -> answer_end.ProcessSigns:
         """Return what this node has seen of a process."""
@@ -64,9 +69,6 @@
             self._signs_by_key.popitem(last=False)
 
 
-def lost_at_s(found: messages.ProcessFound, now_s: float) -> float:
-    """Return when another node lost a connection, in seconds since boot."""
-    ages_ms: typing.Sequence[int] = found.lost_ages_ms[-1:]
-    return max(
-        (now_s - age_ms / 1000 for age_ms in ages_ms), default=-math.inf
-    )
+def lost_at_s(found: messages.ProcessFound, now_s: float) -> list[float]:
+    """Return when another node lost connections, in seconds since boot."""
+    return [now_s - age_ms / 1000 for age_ms in found.lost_ages_ms]
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/peer_signs.py
@@ -73,6 +73,7 @@
             For how long the caller of the answer can wait.
         """
         peers_lost_at_s: list[float] = []
+        answered: list[address_book.PeerAddress] = []
         timeout_s = min(_QUERY_TIMEOUT_S, within_s)
 
         async def ask(address: address_book.PeerAddress) -> None:
@@ -80,7 +81,8 @@
                 address, messages.ProcessQuery(*key), timeout_s
             )
             if isinstance(answer, messages.ProcessFound):
-                peers_lost_at_s.append(
+                answered.append(address)
+                peers_lost_at_s.extend(
                     process_signs.lost_at_s(answer, self._clock.boot_s())
                 )
 
@@ -90,7 +92,7 @@
                 nursery.start_soon(ask, address)
         return self.table.find(key)._replace(
             peers_lost_at_s=peers_lost_at_s,
-            is_shared=len(peers_lost_at_s) == len(asked),
+            is_shared=len(answered) == len(asked),
         )
 
     def choose(self, server_id: str) -> list[address_book.PeerAddress]:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -99,18 +99,18 @@
     ----------
     lived_at_s : float
         When the process was last asked on a new connection and answered.
-    lost_at_s : float
-        When a connection that was in use for reports was last lost.
+    lost_at_s : sequence of float
+        When connections that were in use for reports were lost.
     cut_at_s : sequence of float
         When connections cut other answers off before their end.
     peers_lost_at_s : sequence of float
-        When other nodes last lost such a connection.
+        When other nodes lost such connections.
     is_shared : bool
         Whether all nodes that were asked have answered.
     """
 
     lived_at_s: float = -math.inf
-    lost_at_s: float = -math.inf
+    lost_at_s: typing.Sequence[float] = ()
     cut_at_s: typing.Sequence[float] = ()
     peers_lost_at_s: typing.Sequence[float] = ()
     is_shared: bool = True
@@ -125,14 +125,14 @@
     Examples
     --------
     >>> end = AnswerEnd(open_at_s=9.9, ended_at_s=10.0, deadline_s=60.0)
-    >>> has_ended_with_others(end, ProcessSigns(lost_at_s=10.01))
+    >>> has_ended_with_others(end, ProcessSigns(lost_at_s=[10.01]))
     True
-    >>> has_ended_with_others(end, ProcessSigns(lost_at_s=11.0))
+    >>> has_ended_with_others(end, ProcessSigns(lost_at_s=[11.0]))
     False
     """
     earliest_s = end.open_at_s - _SAME_MOMENT_S
     latest_s = end.ended_at_s + SETTLE_S
-    if earliest_s <= signs.lost_at_s <= latest_s:
+    if any(earliest_s <= at_s <= latest_s for at_s in signs.lost_at_s):
         return True
     if any(
         abs(at_s - end.ended_at_s) <= _SAME_MOMENT_S for at_s in signs.cut_at_s
--- a/tests/cover/relay/test_answer_end.py
+++ b/tests/cover/relay/test_answer_end.py
@@ -40,10 +40,10 @@
     ('signs', 'is_lost'),
     [
         (answer_end.ProcessSigns(), False),
-        (answer_end.ProcessSigns(lost_at_s=9.85), True),
-        (answer_end.ProcessSigns(lost_at_s=10.2), True),
-        (answer_end.ProcessSigns(lost_at_s=9.7), False),
-        (answer_end.ProcessSigns(lost_at_s=10.4), False),
+        (answer_end.ProcessSigns(lost_at_s=[9.85]), True),
+        (answer_end.ProcessSigns(lost_at_s=[10.2]), True),
+        (answer_end.ProcessSigns(lost_at_s=[9.7]), False),
+        (answer_end.ProcessSigns(lost_at_s=[10.4]), False),
         (answer_end.ProcessSigns(cut_at_s=[1.0, 9.95]), True),
         (answer_end.ProcessSigns(cut_at_s=[9.8, 10.2]), False),
         (answer_end.ProcessSigns(peers_lost_at_s=[1.0, 10.15]), True),
@@ -60,7 +60,7 @@
     table.record_lived(_KEY, 5.0)
     table.record_lived(_KEY, 4.0)
     table.record_lost(_KEY, 6.0)
-    assert table.find(_KEY) == answer_end.ProcessSigns(5.0, 6.0)
+    assert table.find(_KEY) == answer_end.ProcessSigns(5.0, [6.0])
     assert table.find(('s1', 2)).lived_at_s == -math.inf
 
 
@@ -70,4 +70,4 @@
     for number in range(2000):
         table.record_lived((f'other{number}', 1), 2.0)
         table.record_lived(_KEY, 2.0)
-    assert table.find(_KEY).lost_at_s == 1.0
+    assert table.find(_KEY).lost_at_s == [1.0]
--- a/tests/cover/relay/test_ended_workers.py
+++ b/tests/cover/relay/test_ended_workers.py
@@ -57,6 +57,39 @@
     relay_rig.with_rig(play)()
 
 
+@relay_rig.with_rig
+async def test_stream_is_not_whole_if_two_workers_end_while_it_is_judged(rig):
+    """Guards against a later loss in place of the one at the end."""
+    serve_stream = _stream_from(1, [])
+    start_s = trio.current_time()
+
+    async def serve(stream):
+        if trio.current_time() - start_s < 1.1:
+            await serve_stream(stream)
+            return
+        while request := await relay_rig.read_request(stream):
+            is_healthy = trio.current_time() - start_s > 2.0
+            await stream.send_all(
+                reporting_stream.encode_health('s1', is_healthy)
+                if is_healthy
+                else relay_rig.NOT_RUN_RESPONSE
+            )
+            assert request.startswith(b'GET /health ')
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('model', 1, serve)
+
+    async def end_workers():
+        await trio.sleep(1.1)
+        rig.end_connections('10.0.0.1')
+        await trio.sleep(0.8)
+        rig.end_connections('10.0.0.1')
+
+    received = await _call(rig, '/stream/x', end_workers)
+    assert relay_rig.encode_event(2) in received
+    assert not received.endswith(relay_rig.LAST_CHUNK)
+
+
 @relay_rig.with_rig
 async def test_stream_of_a_worker_that_ended_goes_on_at_another_server(rig):
     """Guards against ends that count since the server's report says so."""
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,7 +1,6 @@
 """What other nodes and health checks show of the end of an answer."""
 
 import functools
-import math
 
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.attempts import health_prober
@@ -10,6 +9,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import exchange_server
+from foxtailrelay_node.internal.relay.policy import answer_end
 import pytest
 import trio
 
@@ -24,9 +24,21 @@
     table = process_signs.ProcessSignsTable()
     table.record_lost(_KEY, 99.0)
     sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
-    assert process_signs.lost_at_s(sent, 50.0) == 49.0
+    assert process_signs.lost_at_s(sent, 50.0) == [49.0]
     told = table.describe(_KEY, 110.0)
-    assert process_signs.lost_at_s(told, 50.0) == -math.inf
+    assert process_signs.lost_at_s(told, 50.0) == []
+
+
+def test_later_loss_does_not_hide_the_one_at_an_end():
+    """Guards against workers that end one after another."""
+    table = process_signs.ProcessSignsTable()
+    end = answer_end.AnswerEnd(9.9, 10.0, 60.0)
+    for lost_at_s in (10.0, 10.4):
+        table.record_lost(_KEY, lost_at_s)
+    assert answer_end.has_ended_with_others(end, table.find(_KEY))
+    found = process_signs.lost_at_s(table.describe(_KEY, 10.5), 10.5)
+    signs = answer_end.ProcessSigns(peers_lost_at_s=found)
+    assert answer_end.has_ended_with_others(end, signs)
 
 
 @relay_rig.with_rig
