Look for lost connections from when a stream was last known to be open

What callers saw: a stream without a length that looks whole after event 2 of 4, when its worker ended while the caller did not read for 1.2 s.

Cause: the end of the worker was sought from 0.1 s before the last part was read. A part that came while the one before it was passed on to a slow caller may be read long after the worker ended.

Change: if passing a part on took over 0.1 s and the next one was there at once, the window begins when the first of them was read. The same window holds for losses at other nodes (they tell those of the last 3 s).

Not covered: more than one read (64 KB) of backlog, and losses over 3 s ago at other nodes.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -21,6 +21,8 @@
 from foxtailrelay_node.internal.relay.policy import deadline_end
 from foxtailrelay_node.internal.relay.policy import placement_result
 
+# A part that came within this time waited for no earlier one.
+_SOON_S = 0.1
 _LOG = logbook.Logger('foxtailrelay.requests')
 # Answers that are not streams are collected up to this length before they are
 # forwarded, so that a truncated one can be retried and the caller gets a whole
@@ -82,6 +84,7 @@
         self._record_first_event = record_first_event
         self._record_server_end = record_server_end
         self._sent_at_s = context.now_s()
+        self._received_at_s = self._sent_at_s
 
     async def forward_whole(
         self, head: answer_head.AnswerHead
@@ -135,8 +138,9 @@
         )
         splitter = event_splitter.EventSplitter()
         lease = self._open_lease()
+        self._received_at_s = self._context.now_s()
         try:
-            while (part := await self._backend.receive_part()) is not None:
+            while (part := await self._receive_part()) is not None:
                 events = splitter.feed(part)
                 self._record_partial_event(splitter)
                 if not lease.try_resize(splitter.buffered_bytes):
@@ -152,6 +156,22 @@
             self._streams.record_break(self._progress)
         return await self._finish_events(head, splitter)
 
+    async def _receive_part(self) -> bytes | bytearray | None:
+        """Receive a part, and record when its connection was open.
+
+        A part that came while the one before it was passed on to a slow
+        caller may be read long after the server closed the connection.
+        """
+        began_s, last_s = self._context.now_s(), self._received_at_s
+        part = await self._backend.receive_part()
+        if part is not None:
+            now_s = self._received_at_s = self._context.now_s()
+            may_have_waited = (
+                began_s - last_s > _SOON_S and now_s - began_s <= _SOON_S
+            )
+            self._progress.open_at_s = last_s if may_have_waited else now_s
+        return part
+
     async def _forward(
         self,
         head: answer_head.AnswerHead,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -77,7 +77,7 @@
         another server, may accept connections at its address at once.
         """
         now_s = self._context.now_s()
-        open_at_s = self._progress.last_part_at_s
+        open_at_s = self._progress.open_at_s
         end = answer_end.AnswerEnd(
             now_s if open_at_s is None else open_at_s,
             now_s,
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -64,6 +64,8 @@
         since boot.
     last_part_at_s : float or None
         When the last part of a stream was received, in seconds since boot.
+    open_at_s : float or None
+        When the connection of the stream was last known to be open.
     connection_ended_at_s : float
         When the connection of the last answer without a length ended, in
         seconds since boot.
@@ -105,6 +107,7 @@
     long_bytes: int = 0
     answer_lease: memory_lease.MemoryLease | None = None
     last_part_at_s: float | None = None
+    open_at_s: float | None = None
     connection_ended_at_s: float = -math.inf
 
     @property
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/answer_end.py
@@ -51,7 +51,7 @@
     Parameters
     ----------
     open_at_s : float
-        When the last part was received, in seconds since boot.
+        When the connection was last known to be open, in seconds since boot.
     ended_at_s : float
         When the end was received, in seconds since boot.
     deadline_s : float
@@ -139,6 +139,6 @@
     ):
         return True
     return any(
-        abs(at_s - end.ended_at_s) <= SETTLE_S
+        min(earliest_s, end.ended_at_s - SETTLE_S) <= at_s <= latest_s
         for at_s in signs.peers_lost_at_s
     )
--- a/tests/cover/relay/test_ended_workers.py
+++ b/tests/cover/relay/test_ended_workers.py
@@ -90,6 +90,30 @@
     assert not received.endswith(relay_rig.LAST_CHUNK)
 
 
+@relay_rig.with_rig
+async def test_stream_of_a_worker_that_ended_while_its_caller_read_nothing(
+    rig,
+):
+    """Guards against ends that are read long after the worker ended."""
+    rig.add_server('model', 1, _stream_from(1, []))
+    caller, connection = rig.connect_with_connection()
+    send_part = connection.send_part
+
+    async def send_slowly(part):
+        await send_part(part)
+        if b'id: 1' in part:
+            await trio.sleep(1.2)
+
+    connection.send_part = send_slowly
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    await trio.sleep(1.1)
+    rig.end_connections('10.0.0.1')
+    received = await caller.receive_all()
+    assert relay_rig.encode_event(2) in received
+    assert relay_rig.encode_event(3) not in received
+    assert not received.endswith(relay_rig.LAST_CHUNK)
+
+
 @relay_rig.with_rig
 async def test_stream_of_a_worker_that_ended_goes_on_at_another_server(rig):
     """Guards against ends that count since the server's report says so."""
