Begin a health check again if the caller that ran it leaves

What callers saw: with others that end at a server at the same moment, a sound answer without a length may break since another caller leaves.

Cause: a shared check is run by the first request that needs it. If that is cancelled, the others got the result 'unknown', as if the server had not answered; those whose time is up count as broken then.

Change: a cancelled check has no result, and one of the others begins the next.

Measured: test_check_of_a_caller_that_leaves_is_begun_again_by_others fails without the change (has_lived_on is False) and passes with it (one run each).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -40,7 +40,8 @@
 
     began_at_s: float
     finished: trio.Event = dataclasses.field(default_factory=trio.Event)
-    found: ProcessCheck = ProcessCheck(_UNKNOWN)
+    # None if the caller that ran it has left.
+    found: ProcessCheck | None = None
 
 
 class HealthProber:
@@ -103,7 +104,7 @@
                 self._check_by_key[key] = shared
                 return await self._run(server, path, shared)
             await shared.finished.wait()
-            if shared.began_at_s >= due_s:
+            if shared.found is not None and shared.began_at_s >= due_s:
                 return shared.found
 
     async def _run(
@@ -113,11 +114,12 @@
         shared: _SharedCheck,
     ) -> ProcessCheck:
         try:
-            shared.found = await self._check_with_report(server, path)
+            found = await self._check_with_report(server, path)
+            shared.found = found
         finally:
             shared.finished.set()
             del self._check_by_key[server.instance_key]
-        return shared.found
+        return found
 
     async def _check_with_report(
         self, server: backend_server.BackendServer, path: str
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,5 +1,6 @@
 """What other nodes and health checks show of the end of an answer."""
 
+import contextlib
 import functools
 
 from foxtailrelay_core import messages
@@ -252,6 +253,38 @@
     assert not check.has_lived_on
 
 
+@relay_rig.with_rig
+async def test_check_of_a_caller_that_leaves_is_begun_again_by_others(rig):
+    """Guards against sound answers that break since a caller leaves."""
+
+    async def serve(stream):
+        if await relay_rig.read_request(stream):
+            await trio.sleep(0.2)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(_HEALTHY)
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('plain', 1, serve)
+    (server,) = rig.servers.usable('plain')
+    now_s = rig.clock.boot_s()
+    found = []
+
+    async def check(scope):
+        with scope:
+            found.append(
+                await rig.prover.health.check(server, '/health', now_s)
+            )
+
+    leaving = trio.CancelScope()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(check, leaving)
+        await trio.sleep(0.1)
+        nursery.start_soon(check, trio.CancelScope())
+        await trio.sleep(0.05)
+        leaving.cancel()
+    assert [check.has_lived_on for check in found] == [True]
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
