Bound health checks by half of the time that a caller has left

What callers saw: a stream without a length that may be resumed breaks though another server could go on with it, if 0.6 s are left at its end and the server does not answer its health check.

Cause: a check lasted up to 0.6 s, besides a check before it and a report of 0.6 s, whatever time was left.

Change: a check ends at that time and counts as not answered.

Measured: test_stream_goes_on_if_a_health_check_hangs_near_the_deadline fails without the change and passes with it (one run each).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -6,6 +6,7 @@
 import trio
 
 from foxtailrelay_node.internal.relay.attempts import attempt_context
+from foxtailrelay_node.internal.relay.attempts import health_prober
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
@@ -162,9 +163,13 @@
         """
         delay_s = _RETRY_DELAY_S
         while True:
-            check = await self._context.prover.health.check(
-                self._server, path, end.ended_at_s
-            )
+            check = health_prober.ProcessCheck(_Health.UNKNOWN)
+            left_s = self._limit(end).due_s - self._context.now_s()
+            # The rest of the time is for another server.
+            with trio.move_on_after(max(0.0, left_s)):
+                check = await self._context.prover.health.check(
+                    self._server, path, end.ended_at_s
+                )
             if check.has_lived_on:
                 return _Health.HEALTHY
             is_last = self._context.now_s() >= self._limit(end).due_s
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -285,6 +285,43 @@
     assert [check.has_lived_on for check in found] == [True]
 
 
+@relay_rig.with_rig
+async def test_stream_goes_on_if_a_health_check_hangs_near_the_deadline(rig):
+    """Guards against checks that last longer than half of the time left."""
+
+    async def hang(stream):
+        request = await relay_rig.read_request(stream)
+        if request.startswith(b'GET /health '):
+            await trio.sleep(9.0)
+        elif request:
+            await stream.send_all(
+                relay_rig.stream_head().replace(
+                    b'Transfer-Encoding: chunked\r\n', b''
+                )
+                + relay_rig.encode_event(1)
+            )
+        await stream.aclose()
+
+    async def go_on(stream):
+        while await relay_rig.read_request(stream):
+            await stream.send_all(
+                relay_rig.stream_head()
+                + relay_rig.encode_chunk(relay_rig.encode_event(2))
+                + relay_rig.LAST_CHUNK
+            )
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('model', 1, hang)
+    caller = rig.connect()
+    await caller.send(
+        '/resume/x', *_PROMPT, 'Connection: close', 'Deadline-Ms: 600'
+    )
+    await trio.sleep(0.05)
+    rig.add_server('model', 2, go_on)
+    (answer,) = answer_reader.read_answers(await caller.receive_all())
+    assert b'id: 2' in answer.body and answer.is_whole
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
