--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -1,7 +1,7 @@
 """What other nodes and health checks show of the end of an answer."""
 
+import contextlib
 import functools
-import math
 
 from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.attempts import health_prober
@@ -10,6 +10,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import exchange_server
+from foxtailrelay_node.internal.relay.policy import answer_end
 import pytest
 import trio
 
@@ -24,9 +25,21 @@
     table = process_signs.ProcessSignsTable()
     table.record_lost(_KEY, 99.0)
     sent = messages.decode(messages.encode(1, table.describe(_KEY, 100.0)))[1]
-    assert process_signs.lost_at_s(sent, 50.0) == 49.0
+    assert process_signs.lost_at_s(sent, 50.0) == [49.0]
     told = table.describe(_KEY, 110.0)
-    assert process_signs.lost_at_s(told, 50.0) == -math.inf
+    assert process_signs.lost_at_s(told, 50.0) == []
+
+
+def test_later_loss_does_not_hide_the_one_at_an_end():
+    """Guards against workers that end one after another."""
+    table = process_signs.ProcessSignsTable()
+    end = answer_end.AnswerEnd(9.9, 10.0, 60.0)
+    for lost_at_s in (10.0, 10.4):
+        table.record_lost(_KEY, lost_at_s)
+    assert answer_end.has_ended_with_others(end, table.find(_KEY))
+    found = process_signs.lost_at_s(table.describe(_KEY, 10.5), 10.5)
+    signs = answer_end.ProcessSigns(peers_lost_at_s=found)
+    assert answer_end.has_ended_with_others(end, signs)
 
 
 @relay_rig.with_rig
@@ -240,6 +253,75 @@
     assert not check.has_lived_on
 
 
+@relay_rig.with_rig
+async def test_check_of_a_caller_that_leaves_is_begun_again_by_others(rig):
+    """Guards against sound answers that break since a caller leaves."""
+
+    async def serve(stream):
+        if await relay_rig.read_request(stream):
+            await trio.sleep(0.2)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(_HEALTHY)
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('plain', 1, serve)
+    (server,) = rig.servers.usable('plain')
+    now_s = rig.clock.boot_s()
+    found = []
+
+    async def check(scope):
+        with scope:
+            found.append(
+                await rig.prover.health.check(server, '/health', now_s)
+            )
+
+    leaving = trio.CancelScope()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(check, leaving)
+        await trio.sleep(0.1)
+        nursery.start_soon(check, trio.CancelScope())
+        await trio.sleep(0.05)
+        leaving.cancel()
+    assert [check.has_lived_on for check in found] == [True]
+
+
+@relay_rig.with_rig
+async def test_stream_goes_on_if_a_health_check_hangs_near_the_deadline(rig):
+    """Guards against checks that last longer than half of the time left."""
+
+    async def hang(stream):
+        request = await relay_rig.read_request(stream)
+        if request.startswith(b'GET /health '):
+            await trio.sleep(9.0)
+        elif request:
+            await stream.send_all(
+                relay_rig.stream_head().replace(
+                    b'Transfer-Encoding: chunked\r\n', b''
+                )
+                + relay_rig.encode_event(1)
+            )
+        await stream.aclose()
+
+    async def go_on(stream):
+        while await relay_rig.read_request(stream):
+            await stream.send_all(
+                relay_rig.stream_head()
+                + relay_rig.encode_chunk(relay_rig.encode_event(2))
+                + relay_rig.LAST_CHUNK
+            )
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('model', 1, hang)
+    caller = rig.connect()
+    await caller.send(
+        '/resume/x', *_PROMPT, 'Connection: close', 'Deadline-Ms: 600'
+    )
+    await trio.sleep(0.05)
+    rig.add_server('model', 2, go_on)
+    (answer,) = answer_reader.read_answers(await caller.receive_all())
+    assert b'id: 2' in answer.body and answer.is_whole
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
