Let a health check wait in the queue of a full server for 1.5 s

What callers saw: a sound stream without a length breaks if requests wait for 0.8 s at its server.

Cause: a health check waits for a place like any request.

Change: one check lasts as long as the end is in doubt. Answers that end during a check still share the next one, which may be too late for them.

Measured: test_sound_answer_is_whole_if_a_health_check_waits_for_a_place fails without the change and passes with it (one run each).

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -14,8 +14,8 @@
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay.tunnels import server_dialer
 
-# Includes a wait for a place at a full server.
-_TIMEOUT_S = 0.6
+# Includes a wait for a place at a full server; a new check waits anew.
+_TIMEOUT_S = 1.5
 _UNKNOWN = health_check.HealthCheck.UNKNOWN
 
 
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -322,6 +322,33 @@
     assert b'id: 2' in answer.body and answer.is_whole
 
 
+@relay_rig.with_rig
+async def test_sound_answer_is_whole_if_a_health_check_waits_for_a_place(rig):
+    """Guards against checks that give up their place in the queue."""
+
+    async def serve(stream):
+        request = await relay_rig.read_request(stream)
+        if request.startswith(b'GET /health '):
+            await trio.sleep(0.8)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(_HEALTHY)
+        elif request:
+            await stream.send_all(
+                relay_rig.stream_head().replace(
+                    b'Transfer-Encoding: chunked\r\n', b''
+                )
+                + relay_rig.encode_event(1)
+            )
+        await stream.aclose()
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('model', 1, serve)
+    caller = rig.connect()
+    await caller.send('/stream/x', *_PROMPT, 'Connection: close')
+    (answer,) = answer_reader.read_answers(await caller.receive_all())
+    assert answer.is_whole
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
