Share the pause after a health check that a full server refuses

What a full server saw: about six health checks for each answer without a length that ends, though ends are to share them.

Cause: a refusal takes a round trip, so checks of ends that come one by one hardly overlap, and each end asked again after pauses of its own.

Change: after a refused or unanswered check the next one of the process begins 0.1 s later, and all ends until then share it. A node asks a process at most ten times a second while it refuses.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -1,7 +1,9 @@
 """Asks backend servers whether they are healthy and not leaving."""
 
+import collections
 import dataclasses
 import itertools
+import math
 import typing
 
 import trio
@@ -16,6 +18,9 @@
 
 # Includes a wait for a place at a full server; a new check waits anew.
 _TIMEOUT_S = 1.5
+# After a check that was refused or not answered.
+_PAUSE_S = 0.1
+_MAX_PAUSED = 1000
 _UNKNOWN = health_check.HealthCheck.UNKNOWN
 
 
@@ -38,7 +43,7 @@
 class _SharedCheck:
     """A check that is shared by the ends that it is begun after."""
 
-    began_at_s: float
+    began_at_s: float = -math.inf
     finished: trio.Event = dataclasses.field(default_factory=trio.Event)
     # None if the caller that ran it has left.
     found: ProcessCheck | None = None
@@ -49,6 +54,7 @@
 
     A check takes a place of the server.  So a process is asked by one check
     at a time, and all answers that end during a check share the next one.
+    After a check that was refused there is a pause, which they share too.
 
     Parameters
     ----------
@@ -81,6 +87,9 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._check_by_key: dict[tuple[str, int], _SharedCheck] = {}
+        self._paused_until_s: collections.OrderedDict[
+            tuple[str, int], float
+        ] = collections.OrderedDict()
 
     async def check(
         self, server: backend_server.BackendServer, path: str, due_s: float
@@ -100,7 +109,7 @@
         while True:
             shared = self._check_by_key.get(key)
             if shared is None:
-                shared = _SharedCheck(self._clock.boot_s())
+                shared = _SharedCheck()
                 self._check_by_key[key] = shared
                 return await self._run(server, path, shared)
             await shared.finished.wait()
@@ -114,13 +123,28 @@
         shared: _SharedCheck,
     ) -> ProcessCheck:
         try:
+            await self._pause(server.instance_key)
+            shared.began_at_s = self._clock.boot_s()
             found = await self._check_with_report(server, path)
             shared.found = found
+            if found.health is _UNKNOWN:
+                self._begin_pause(server.instance_key)
         finally:
             shared.finished.set()
             del self._check_by_key[server.instance_key]
         return found
 
+    async def _pause(self, key: tuple[str, int]) -> None:
+        """Wait if the process has just refused a check."""
+        until_s = self._paused_until_s.get(key, -math.inf)
+        await trio.sleep(max(0.0, until_s - self._clock.boot_s()))
+
+    def _begin_pause(self, key: tuple[str, int]) -> None:
+        self._paused_until_s[key] = self._clock.boot_s() + _PAUSE_S
+        self._paused_until_s.move_to_end(key)
+        if len(self._paused_until_s) > _MAX_PAUSED:
+            self._paused_until_s.popitem(last=False)
+
     async def _check_with_report(
         self, server: backend_server.BackendServer, path: str
     ) -> ProcessCheck:
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -349,6 +349,30 @@
     assert answer.is_whole
 
 
+@relay_rig.with_rig
+async def test_answers_that_end_one_by_one_share_checks_of_a_full_server(rig):
+    """Guards against as many checks as ends while a server refuses them."""
+    asked = []
+
+    async def serve(stream):
+        if await relay_rig.read_request(stream):
+            asked.append(trio.current_time())
+            await stream.send_all(_FULL)
+
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('plain', 1, serve)
+    (server,) = rig.servers.usable('plain')
+
+    async def check(due_s):
+        await rig.prover.health.check(server, '/health', due_s)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(100):
+            nursery.start_soon(check, rig.clock.boot_s())
+            await trio.sleep(0.01)
+    assert len(asked) <= 11
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
