--- a/tests/cover/test_emulator.py
+++ b/tests/cover/test_emulator.py
@@ -188,7 +188,7 @@
         process = sheet_process.SheetProcess('lm', settings, tmp_path)
         try:
             await process.wait_until_started()
-            process.set_fault('mute', 1.0)
+            process.add_fault('mute', 1.0)
             await trio.sleep(0.2)
             health = b'GET /health HTTP/1.1\r\nHost: h\r\n\r\n'
             answers = [
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -33,11 +33,13 @@
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import joined_heads
+from foxtailrelay_node.internal.relay.http import request_reader
 from foxtailrelay_node.internal.relay import node_state
-from foxtailrelay_node.internal.relay.peers import gossip
+from foxtailrelay_node.internal.relay.peers import message_age
 from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import peer_table
 from foxtailrelay_node.internal.relay.peers import stream_origins
+from foxtailrelay_node.internal.relay.peers import topic_exchange
 from foxtailrelay_node.internal.relay.policy import answer_end
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import crash_attribution
@@ -45,6 +47,7 @@
 from foxtailrelay_node.internal.relay.policy import quarantine_probes
 from foxtailrelay_node.internal.relay.policy import quota
 from foxtailrelay_node.internal.relay.policy import request_fingerprint
+from foxtailrelay_node.internal.relay.policy import speed_estimate
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_version
 from foxtailrelay_node.internal.relay import request_timer
@@ -68,6 +71,7 @@
 from cover.relay import test_keyed_view as views
 from cover.relay import test_lease as leases
 from cover.relay import test_peer_memory as peer_memories
+from cover.relay import test_plain_server_speeds as speeds
 from cover.relay import test_quota as quotas
 from cover.relay import test_repeated_requests as repeats
 from cover.relay import test_request_guarantees as checks
@@ -166,6 +170,18 @@
         _set(answer_head.AnswerHead, 'request_id', 'r1'),
         checks.test_answer_to_another_request_is_not_forwarded,
     ),
+    'the measured speed of a plain server is trusted always': (
+        _set(speed_estimate, 'age', _always(0.0)),
+        lambda: speeds.test_server_that_is_fast_again_gets_requests(3, 40.0),
+    ),
+    'nodes with few requests try slow servers as often as others': (
+        _set(speed_estimate, '_LIFETIME_REQUESTS', 0.01),
+        lambda: speeds.test_server_that_stays_slow_gets_few_requests(9, 10.0),
+    ),
+    'requests that cannot wait try slow servers': (
+        _set(speed_estimate, '_LATE_LIFETIME_FACTOR', 1.0),
+        speeds.test_requests_that_cannot_wait_seldom_try_a_slow_server,
+    ),
     'connections with unexpected bytes are reused': (
         _set(
             backend_connection.BackendConnection,
@@ -309,7 +325,7 @@
         restores.test_servers_missing_in_the_copy_are_used_for_a_while,
     ),
     'configurations lost in a restore are not taken from peers': (
-        _set(gossip.Gossip, '_is_lost_version', _always(False)),
+        _set(topic_exchange.TopicExchange, '_is_lost_version', _always(False)),
         restores.test_a_node_that_starts_after_a_restore_asks_a_peer,
     ),
     'a node that starts after a restore trusts the copy': (
@@ -377,7 +393,7 @@
         reporters.test_the_next_lease_holder_repeats_a_report_exactly,
     ),
     'the age of data from peers is ignored': (
-        lambda patch: patch.setattr(gossip, '_age_ms', _always(0)),
+        lambda patch: patch.setattr(message_age, 'age_ms', _always(0)),
         gossips.test_a_copy_from_a_peer_is_no_fresher_than_at_the_peer,
     ),
     'answers do not clear parts of prompts': (
@@ -595,9 +611,7 @@
         peer_memories.test_unfinished_messages_are_held_within_the_budget,
     ),
     'bodies without room are read': (
-        _set(
-            caller_connection.CallerConnection, '_has_room_for', _always(True)
-        ),
+        _set(request_reader.RequestReader, 'has_room_for', _always(True)),
         lambda: memories.test_body_without_room_is_refused_before_it_is_sent(
             ()
         ),
