Let a health check wait only for a server that gives reports

Change: a process that has not answered a health check within 0.4 s is asked for a report. Without one the check has no answer.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/health_prober.py
@@ -18,6 +18,8 @@
 
 # Includes a wait for a place at a full server; a new check waits anew.
 _TIMEOUT_S = 1.5
+# A process that does not answer for so long has to give a report.
+_SILENCE_S = 0.4
 # After a check that was refused or not answered.
 _PAUSE_S = 0.1
 _MAX_PAUSED = 1000
@@ -148,15 +150,34 @@
     async def _check_with_report(
         self, server: backend_server.BackendServer, path: str
     ) -> ProcessCheck:
-        health = _UNKNOWN
-        with trio.move_on_after(_TIMEOUT_S):
-            health = await self._check_once(server, path)
+        health = await self._check_while_alive(server, path)
         self._metrics.health_checks.labels(health.name.lower()).inc()
         if health is not health_check.HealthCheck.HEALTHY:
             return ProcessCheck(health)
         # The next process may have the id of the listed one.
         return ProcessCheck(health, await self._prove(server))
 
+    async def _check_while_alive(
+        self, server: backend_server.BackendServer, path: str
+    ) -> health_check.HealthCheck:
+        """Wait in the queue of a server that gives reports meanwhile."""
+        found: list[health_check.HealthCheck] = []
+        finished = trio.Event()
+
+        async def check() -> None:
+            found.append(await self._check_once(server, path))
+            finished.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(check)
+            with trio.move_on_after(_TIMEOUT_S):
+                with trio.move_on_after(_SILENCE_S):
+                    await finished.wait()
+                if found or await self._prove(server):
+                    await finished.wait()
+            nursery.cancel_scope.cancel()
+        return found[0] if found else _UNKNOWN
+
     async def _check_once(
         self, server: backend_server.BackendServer, path: str
     ) -> health_check.HealthCheck:
