Look at the address once while a full server refuses health checks

What a full server saw: after each refused health check a report on a new connection and a look at its address, for each answer that ends.

Change: these are made after the first check and after the last one of an end. Between them an end of the process that is known otherwise still counts.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -174,9 +174,13 @@
                 return _Health.HEALTHY
             is_last = self._context.now_s() >= self._limit(end).due_s
             has_answered = check.health is not _Health.UNKNOWN
-            doubt = await self._find_doubt(is_last or has_answered)
-            if doubt:
-                return doubt
+            # Each look costs two connections of a server that may be full.
+            if delay_s == _RETRY_DELAY_S or is_last or has_answered:
+                doubt = await self._find_doubt(is_last or has_answered)
+                if doubt:
+                    return doubt
+            elif self._is_known_to_have_ended():
+                return server_end_checker.ServerCheck.ENDED.value
             self._record_placed_end()
             if is_last or has_answered:
                 return check.health
--- a/tests/cover/relay/test_shared_signs.py
+++ b/tests/cover/relay/test_shared_signs.py
@@ -373,6 +373,29 @@
     assert len(asked) <= 11
 
 
+@relay_rig.with_rig
+async def test_ends_at_a_server_that_refuses_checks_cost_few_connections(rig):
+    """Guards against a look at the address after each refusal."""
+    gate = trio.Event()
+    gate.set()
+    rig.dialer.hosts_with_own_health.add('10.0.0.1')
+    rig.add_server('model', 1, _close_together(gate, _FULL), slots=100)
+
+    async def call(number):
+        caller = rig.connect()
+        await caller.send(
+            '/stream/x', *_PROMPT, 'Connection: close', request_id=f'r{number}'
+        )
+        await caller.receive_all()
+
+    async with trio.open_nursery() as nursery:
+        for number in range(20):
+            nursery.start_soon(call, number)
+            await trio.sleep(0.013)
+    # Among them are 20 for the requests, and 3 that are watched.
+    assert len(rig.dialer.connected_hosts) <= 120
+
+
 @pytest.mark.parametrize('full_s', [0.3, 1.0, 3.0])
 def test_sound_answer_of_a_full_server_is_whole_once_it_has_a_place(full_s):
     """Guards against answers that break since a server is full."""
