--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/end_prover.py
@@ -20,8 +20,6 @@
 _POLL_INTERVAL_S = 0.1
 # A full server refuses checks for a while.
 _RETRY_DELAY_S = 0.05
-# A report needs no place, so one that is missing too shows a silent server.
-_REPORT_DELAY_S = 0.6
 _MAX_RETRY_DELAY_S = 0.4
 _REASON = 'the connection ended the answer'
 _Health = health_check.HealthCheck
@@ -169,9 +167,9 @@
             left_s = self._limit(end).due_s - self._context.now_s()
             # The rest of the time is for another server.
             with trio.move_on_after(max(0.0, left_s)):
-                check = await self._check_health(end, path)
-            if isinstance(check, str):
-                return check
+                check = await self._context.prover.health.check(
+                    self._server, path, end.ended_at_s
+                )
             if check.has_lived_on:
                 return _Health.HEALTHY
             is_last = self._context.now_s() >= self._limit(end).due_s
@@ -189,30 +187,6 @@
             await trio.sleep(delay_s)
             delay_s = min(2 * delay_s, _MAX_RETRY_DELAY_S)
 
-    async def _check_health(
-        self, end: answer_end.AnswerEnd, path: str
-    ) -> health_prober.ProcessCheck | str:
-        """Wait for a health check, unless the process does not report.
-
-        Returns why it may have ended, if that is known first.
-        """
-        doubt = ''
-
-        async def ask_for_report() -> None:
-            nonlocal doubt
-            await trio.sleep(_REPORT_DELAY_S)
-            doubt = await self._find_doubt()
-            if doubt:
-                nursery.cancel_scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask_for_report)
-            check = await self._context.prover.health.check(
-                self._server, path, end.ended_at_s
-            )
-            nursery.cancel_scope.cancel()
-        return doubt or check
-
     def _is_leaving(self) -> bool:
         servers = self._context.servers
         return servers.has_announced_end(
