Hold all watched connections again after a pause between answers

What callers saw (possible): a cut stream without a length looks whole when its worker ends, since only one connection to the server is watched, not three.

Cause: two of the three connections stop for good when they find no answer under way. The first one may look later, when the next answer has begun; then it is held alone as long as answers follow each other.

Change: the others begin again while the first one is held.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/worker_watch.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/worker_watch.py
@@ -132,7 +132,10 @@
     async def _hold_another(self, watched: _Watched) -> None:
         """Hold one more connection if the server does not close them."""
         await watched.has_held.wait()
-        await self._hold_one(watched)
+        # Answers may begin after a pause in which another one is still held.
+        while True:
+            await self._hold_one(watched)
+            await trio.sleep(_MIN_REFRESH_S)
 
     async def _hold_one(
         self, watched: _Watched, probes_idle: bool = False
--- a/tests/cover/relay/test_ended_workers.py
+++ b/tests/cover/relay/test_ended_workers.py
@@ -179,6 +179,37 @@
     assert len(rig.dialer.connected_hosts) <= 10
 
 
+@pytest.mark.parametrize('pause_s', [0.1, 0.3, 0.7])
+def test_all_connections_are_held_again_after_a_pause(pause_s):
+    """Guards against workers that nothing watches after a short pause."""
+
+    async def play(rig):
+        open_count, event_count = 0, 1
+
+        async def serve(stream):
+            nonlocal open_count
+            open_count += 1
+            try:
+                if await relay_rig.read_request(stream):
+                    await stream.send_all(_HEAD)
+                    for number in range(1, event_count + 1):
+                        await stream.send_all(relay_rig.encode_event(number))
+                        await trio.sleep(1.3)
+                    await stream.aclose()
+            finally:
+                open_count -= 1
+
+        rig.add_server('model', 1, serve)
+        await _call(rig, '/stream/x', trio.sleep_forever)
+        await trio.sleep(pause_s)
+        event_count = 9
+        await rig.connect().send('/stream/x', *_PROMPT)
+        await trio.sleep(1.5)
+        assert open_count == 1 + 3
+
+    relay_rig.with_rig(play)()
+
+
 @relay_rig.with_rig
 async def test_held_connection_ends_with_the_answers(rig):
     """Guards against connections that are held though nothing needs them."""
