Close sockets without a pass of the scheduler

Cause: trio's aclose_forcefully opens two cancel scopes, raises within them and lets the scheduler run once, for a call that never waits. A request with a new connection at either end pays that twice.

Change: callers' and servers' connections close their sockets directly; other streams are closed as before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -268,7 +268,7 @@
             return
         self._is_closed = True
         self._state.fail('closed')
-        await trio.aclose_forcefully(self._stream)
+        await sockets.close(self._stream)
 
     async def _next_event(self):
         """Return the next event of the answer."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
@@ -152,7 +152,7 @@
             self._reader.close()
             if self._answer.state.is_cut:
                 sockets.reset_on_close(self._stream)
-            await trio.aclose_forcefully(self._stream)
+            await sockets.close(self._stream)
 
     def close_if_idle(self) -> None:
         """Close the connection now if no request is on its way.
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/sockets.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/sockets.py
@@ -73,6 +73,18 @@
     return stream
 
 
+async def close(stream: trio.abc.Stream) -> None:
+    """Close a connection at once, without waiting for its remote end.
+
+    A socket needs no pass of the scheduler for it, which trio's own function
+    takes, together with two cancel scopes.
+    """
+    if isinstance(stream, trio.SocketStream):
+        stream.socket.close()
+    else:
+        await trio.aclose_forcefully(stream)
+
+
 def reset_on_close(stream: trio.abc.Stream) -> None:
     """Make closing the connection send a reset.
 
--- a/tests/cover/relay/test_sockets.py
+++ b/tests/cover/relay/test_sockets.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.memory import purpose as purposes
 from foxtailrelay_node.internal.relay.http import sockets
 import trio
+from trio import testing
 
 # A sound server may be unresponsive for a second or so.
 _SILENCE_S = 1.8
@@ -84,3 +85,15 @@
         )._stream_pool,
     ):
         assert tuple(pool._socket_options) == sockets.SOCKET_OPTIONS
+
+
+def test_a_socket_closes_without_a_pass_of_the_scheduler():
+    """Guards against costs that each new connection pays twice."""
+
+    async def main():
+        stream = trio.SocketStream(trio.socket.socket())
+        with testing.assert_no_checkpoints():
+            await sockets.close(stream)
+        assert stream.socket.fileno() < 0
+
+    trio.run(main)
