Probe parts of many requests after all nodes have restarted

Cause: what cleared a part of prompts is forgotten when all nodes restart. If several causes end servers right then, a part that all callers share explains their ends, and without 20 answers it was never probed: its requests were refused for 600 s.

Change: a quarantine that began before any node had run for 60 s is probed, as that of an answered part is, if a quarter of the different requests since have the part. Gossip tells the start of the oldest node. One more end under a request sent since stops the probes, as before. Whole requests are not probed. Once a node has run for 60 s nothing changes: a part that was seldom answered is not probed.

Weighed: evidence in the store (better where probes meet a crashing request, needs a record and its reader: not built); counts of answers in peers' reports (no help if all restart); probes of all adopted verdicts (each node of a rollout would end a server).

test_sound_requests_are_served_after_all_nodes_restarted and test_common_part_is_probed_after_all_nodes_restarted fail without it.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_quarantine.py
@@ -56,6 +56,11 @@
     rng : random.Random, optional
         Spreads the probes of the nodes.
 
+    Attributes
+    ----------
+    observed_since_s : float
+        When the oldest node started, in seconds since boot.
+
     Examples
     --------
     >>> quarantine = CrashQuarantine(clock)
@@ -74,6 +79,7 @@
         self._probes = probe_log.ProbeLog(rng, 1)
         self._dispatcher_probes = probe_log.ProbeLog(rng, 0)
         self._records_by_service: dict[str, crash_records.CrashRecords] = {}
+        self.observed_since_s = -math.inf
 
     def find(
         self,
@@ -98,6 +104,8 @@
             return None
         found = []
         request_ids = tuple(_keys(suspect_ids))
+        if not is_dispatcher:
+            records.requests.record(request_ids)
         for suspect_id in request_ids:
             quarantine = records.quarantine_by_suspect.get(suspect_id)
             if quarantine is None:
@@ -107,13 +115,13 @@
             else:
                 self._expire(service, records, quarantine)
         # A part that is surely to blame first, so that no probe is wasted.
-        found.sort(key=lambda q: self._may_probe(records, q))
+        found.sort(key=lambda q: self._may_probe(records, q, is_dispatcher))
         probes = self._dispatcher_probes if is_dispatcher else self._probes
         for quarantine in found:
             if not probes.admits(
                 quarantine.suspect_id,
                 request_ids,
-                records.probe_evidence(quarantine),
+                self._evidence(records, quarantine, is_dispatcher),
                 self._clock.boot_s(),
             ):
                 return quarantine
@@ -123,11 +131,27 @@
         """Set the number of nodes that send probes independently."""
         self._probes.node_count = count
 
-    @staticmethod
     def _may_probe(
-        records: crash_records.CrashRecords, quarantine: quarantines.Quarantine
+        self,
+        records: crash_records.CrashRecords,
+        quarantine: quarantines.Quarantine,
+        is_dispatcher: bool,
     ) -> bool:
-        return quarantine_probes.may_probe(records.probe_evidence(quarantine))
+        return quarantine_probes.may_probe(
+            self._evidence(records, quarantine, is_dispatcher)
+        )
+
+    def _evidence(
+        self,
+        records: crash_records.CrashRecords,
+        quarantine: quarantines.Quarantine,
+        is_dispatcher: bool,
+    ) -> quarantine_probes.Evidence:
+        evidence = records.probe_evidence(quarantine, self.observed_since_s)
+        # The nodes that ask a dispatcher refuse all but probes.
+        if is_dispatcher and not quarantine.is_request:
+            return evidence._replace(request_share=1.0)
+        return evidence
 
     def remaining_s(self, quarantine: quarantines.Quarantine) -> float:
         """Return the seconds until a quarantine ends."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -8,6 +8,7 @@
 
 from foxtailrelay_node.internal.relay.backends import answer_history
 from foxtailrelay_node.internal.relay.backends import quarantine as quarantines
+from foxtailrelay_node.internal.relay.backends import request_sample
 from foxtailrelay_node.internal.relay.policy import crash_attribution
 from foxtailrelay_node.internal.relay.policy import quarantine_probes
 
@@ -91,6 +92,8 @@
         Quarantines in force.
     release_by_suspect : dict
         The last end of each suspect's quarantine.
+    requests : RequestSample
+        Requests that arrived while suspects were in quarantine.
     """
 
     def __init__(self) -> None:
@@ -100,6 +103,7 @@
         self.answers = answer_history.AnswerHistory()
         self.quarantine_by_suspect: dict[str, quarantines.Quarantine] = {}
         self.release_by_suspect: dict[str, Release] = {}
+        self.requests = request_sample.RequestSample()
 
     def add_crash(self, key: InstanceKey, crash: Crash) -> bool:
         """Merge a crash; return whether anything was new."""
@@ -158,9 +162,19 @@
         )
 
     def probe_evidence(
-        self, quarantine: quarantines.Quarantine
+        self,
+        quarantine: quarantines.Quarantine,
+        observed_since_s: float = -math.inf,
     ) -> quarantine_probes.Evidence:
-        """Return what is known about a suspect in quarantine."""
+        """Return what is known about a suspect in quarantine.
+
+        Parameters
+        ----------
+        quarantine : Quarantine
+            The quarantine.
+        observed_since_s : float
+            When the oldest node started, in seconds since boot.
+        """
         suspect_id = quarantine.suspect_id
         answers = self.answers.find(suspect_id)
         release = self.release_by_suspect.get(suspect_id)
@@ -173,6 +187,8 @@
                 > quarantine.started_at_s
                 for crash in self.crash_by_instance.values()
             ),
+            quarantine.started_at_s - observed_since_s,
+            0.0 if quarantine.is_request else self.requests.share(suspect_id),
         )
 
     def find_causes(
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -478,6 +478,11 @@
         )
         self._state.budget.set_node_count(len(members) + 1)
         self._state.quarantine.set_node_count(len(members) + 1)
+        first_ms = min(
+            [self.identity.incarnation, *(m.copy.incarnation for m in members)]
+        )
+        running_s = self._state.time.now_s() - first_ms / 1000
+        self._state.quarantine.observed_since_s = now_s - running_s
         oldest_s = now_s - self._window_s
         for peer in self.peers.all():
             if peer.made_at_s < oldest_s:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/quarantine_probes.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/quarantine_probes.py
@@ -1,5 +1,6 @@
 """Decides when single requests test whether a quarantine is justified."""
 
+import math
 import typing
 
 # Requests that were under way have ended by then, and reports of their
@@ -14,6 +15,10 @@
 PROBE_LIFETIME_S = 5.0
 # A part with this many answers at a node is one that many callers share.
 _MIN_ANSWERS = 20
+# If all nodes started more recently, before a quarantine, answers were too few
+# to tell a common part; the requests that are refused do.
+_MIN_OBSERVED_S = 60.0
+_MIN_REQUEST_SHARE = 0.25
 
 
 class Evidence(typing.NamedTuple):
@@ -29,12 +34,18 @@
         Whether an earlier quarantine ran its whole time.
     failed_count : int
         Servers that ended under requests sent since it started.
+    observed_s : float
+        Time from the start of the oldest node to that of the quarantine.
+    request_share : float
+        Share of the requests since the quarantine that have the suspect.
     """
 
     started_at_s: float
     answer_count: int
     is_repeated: bool
     failed_count: int
+    observed_s: float = math.inf
+    request_share: float = 0.0
 
 
 def may_probe(evidence: Evidence) -> bool:
@@ -45,16 +56,19 @@
     more end shows that it is to blame, so a part that turned bad ends few more
     servers.
 
+    After a start of all nodes nobody knows which parts are common.  A part of
+    a quarter of the requests is probed then.
+
     Examples
     --------
     >>> may_probe(Evidence(9.0, 300, False, 0))
     True
     """
-    return (
-        evidence.answer_count >= _MIN_ANSWERS
-        and not evidence.is_repeated
-        and not evidence.failed_count
+    is_common = evidence.answer_count >= _MIN_ANSWERS or (
+        evidence.observed_s < _MIN_OBSERVED_S
+        and evidence.request_share >= _MIN_REQUEST_SHARE
     )
+    return is_common and not evidence.is_repeated and not evidence.failed_count
 
 
 def is_turn(
--- a/tests/common/crash_fleet.py
+++ b/tests/common/crash_fleet.py
@@ -58,6 +58,7 @@
         self.rng = random.Random(seed)
         self.clock = fake_clocks.ManualClock()
         self.quarantines = [self._start_node(nodes) for _ in range(nodes)]
+        self._started_at_s = [self.clock.now_s] * nodes
         self.requests: list[Sent] = []
         self.crashes_at_s: list[float] = []
         self.deaf_nodes: set[int] = set()
@@ -100,12 +101,14 @@
 
         send()
 
-    def start_crashing(self, part_id, per_s, clump=1, users=124):
+    def start_crashing(
+        self, part_id, per_s, clump=1, users=124, first_parts=8
+    ):
         """Send requests with a part that crashes engines, from now on."""
 
         def send():
             for _ in range(clump):
-                parts = [f'a{self.rng.randrange(8)}', part_id]
+                parts = [f'a{self.rng.randrange(first_parts)}', part_id]
                 if self.rng.random() < 0.5:
                     parts.insert(1, f'u{self.rng.randrange(users)}')
                 self._send(tuple(parts), True, retries=1)
@@ -155,6 +158,9 @@
     def restart_node(self, node):
         """Let a node lose what it knows."""
         self.quarantines[node] = self._start_node(len(self.quarantines))
+        self._started_at_s[node] = self.clock.now_s
+        for quarantine in self.quarantines:
+            quarantine.observed_since_s = min(self._started_at_s)
 
     def crashing_after(self, at_s):
         """Return the crashing requests sent to engines after a time."""
@@ -177,6 +183,7 @@
             self.clock, random.Random(self.rng.random())
         )
         quarantine.set_node_count(node_count)
+        quarantine.observed_since_s = self.clock.now_s
         return quarantine
 
     def _send(self, part_ids, is_crashing, retries, answer_s=None):
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -70,6 +70,7 @@
 from cover.relay import test_lease as leases
 from cover.relay import test_peer_memory as peer_memories
 from cover.relay import test_plain_server_speeds as speeds
+from cover.relay import test_quarantine_after_restart as restarted
 from cover.relay import test_quota as quotas
 from cover.relay import test_repeated_requests as repeats
 from cover.relay import test_request_guarantees as checks
@@ -494,6 +495,14 @@
         _set(quarantine_probes, 'may_probe', _always(False)),
         prompts.test_common_part_is_released_by_the_answer_to_a_single_request,
     ),
+    'common parts of a cluster that has just started stay in quarantine': (
+        _set(quarantine_probes, '_MIN_OBSERVED_S', 0.0),
+        restarted.test_common_part_is_probed_after_all_nodes_restarted,
+    ),
+    'rare parts of a cluster that has just started are probed': (
+        _set(quarantine_probes, '_MIN_REQUEST_SHARE', 0.0),
+        restarted.test_rare_cause_is_not_probed_after_all_nodes_restarted,
+    ),
     'parts that end a server under a probe are probed again': (
         _set(quarantine_probes, 'may_probe', _always(True)),
         prompts.test_part_that_ends_one_more_server_is_not_probed_again,
