Let the mutant of idle timeouts count them as losses

Cause: the mutant 'idle timeouts count as ends of workers' widened the window in which losses count to all times. The test failed on it since a process that has lost nothing had -inf as the time of its last loss, which lay in that window.

Change: the mutant counts idle timeouts as losses, at any time. It is noticed by the same test, through a loss.

--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -13,6 +13,7 @@
 from foxtailrelay_node.internal.relay.attempts import results
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.attempts import stream_versions
+from foxtailrelay_node.internal.relay.attempts import worker_watch
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import departure_notices
 from foxtailrelay_node.internal.relay.backends import process_signs
@@ -112,6 +113,19 @@
     return lambda patch: patch.setattr(owner, name, value)
 
 
+_original_wait = worker_watch.WorkerWatch._wait
+
+
+async def _wait_without_idle_time(self, *arguments):
+    idle_s, has_input = await _original_wait(self, *arguments)
+    return 0.0 if has_input else idle_s, has_input
+
+
+def _count_idle_timeouts(patch):
+    patch.setattr(answer_end, '_SAME_MOMENT_S', math.inf)
+    patch.setattr(worker_watch.WorkerWatch, '_wait', _wait_without_idle_time)
+
+
 def _run_machine(case):
     return lambda: case('runTest').runTest()
 
@@ -445,7 +459,7 @@
         workers.test_stream_of_a_worker_that_ended_goes_on_at_another_server,
     ),
     'idle timeouts count as ends of workers': (
-        _set(answer_end, '_SAME_MOMENT_S', math.inf),
+        _count_idle_timeouts,
         workers.test_stream_outlives_an_idle_connection_of_its_server,
     ),
     'requests are known again by their id': (
