Count requests with a quarantined part only in new clusters

Cause: worked out the share of requests with a quarantined part for each refusal, although it matters only if no node had run for 60 s.

Change: it is worked out only then.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/crash_records.py
@@ -176,6 +176,13 @@
             When the oldest node started, in seconds since boot.
         """
         suspect_id = quarantine.suspect_id
+        observed_s = quarantine.started_at_s - observed_since_s
+        request_share = 0.0
+        if (
+            observed_s < quarantine_probes.MIN_OBSERVED_S
+            and not quarantine.is_request
+        ):
+            request_share = self.requests.share(suspect_id)
         answers = self.answers.find(suspect_id)
         release = self.release_by_suspect.get(suspect_id)
         return quarantine_probes.Evidence(
@@ -187,8 +194,8 @@
                 > quarantine.started_at_s
                 for crash in self.crash_by_instance.values()
             ),
-            quarantine.started_at_s - observed_since_s,
-            0.0 if quarantine.is_request else self.requests.share(suspect_id),
+            observed_s,
+            request_share,
         )
 
     def find_causes(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/quarantine_probes.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/quarantine_probes.py
@@ -17,7 +17,7 @@
 _MIN_ANSWERS = 20
 # If all nodes started more recently, before a quarantine, answers were too few
 # to tell a common part; the requests that are refused do.
-_MIN_OBSERVED_S = 60.0
+MIN_OBSERVED_S = 60.0
 _MIN_REQUEST_SHARE = 0.25
 
 
@@ -65,7 +65,7 @@
     True
     """
     is_common = evidence.answer_count >= _MIN_ANSWERS or (
-        evidence.observed_s < _MIN_OBSERVED_S
+        evidence.observed_s < MIN_OBSERVED_S
         and evidence.request_share >= _MIN_REQUEST_SHARE
     )
     return is_common and not evidence.is_repeated and not evidence.failed_count
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -496,7 +496,7 @@
         prompts.test_common_part_is_released_by_the_answer_to_a_single_request,
     ),
     'common parts of a cluster that has just started stay in quarantine': (
-        _set(quarantine_probes, '_MIN_OBSERVED_S', 0.0),
+        _set(quarantine_probes, 'MIN_OBSERVED_S', 0.0),
         restarted.test_common_part_is_probed_after_all_nodes_restarted,
     ),
     'rare parts of a cluster that has just started are probed': (
