Correct the speed of a plain server only after half a lifetime

Cause: corrected measured speeds from 0.02 lifetimes on. Under load all servers are used every few tenths of a second; the corrections made nodes choose the same ones, and a slow server when the others were busy.

Change: nothing is corrected below half a lifetime (5 s, or ten requests of the service for each of its servers). The model is bench/plain_speed_bench.py (make bench-plain-speed), with a mean work of 22.7 ms.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli standins
 INSTALLED := $(VENV)/installed
 
-.PHONY: review-cases play-site soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-events
+.PHONY: review-cases play-site soak soak-ci demo test lint format fuzz lock clean bench-path bench-policy bench-overload bench-capacity bench-placing bench-plain-speed bench-events
 
 demo: $(INSTALLED)
 	$(PYTHON) demo/demo.py
@@ -60,6 +60,9 @@
 bench-placing: $(INSTALLED)
 	PYTHONPATH=tests $(PYTHON) bench/placing_bench.py
 
+bench-plain-speed: $(INSTALLED)
+	$(PYTHON) bench/plain_speed_bench.py
+
 # CPU time per event through a node's own interface, then through the relay.
 bench-events: $(INSTALLED)
 	$(PYTHON) bench/path_bench.py
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/speed_estimate.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/speed_estimate.py
@@ -18,10 +18,10 @@
 # fastest by this factor; without it, equal servers that are never full would
 # leave it unmeasured.
 OPTIMISM = 1.25
-# Age up to which the measured speed needs no correction.
-_NEW = 0.02
-# Age from which a new measurement counts more than the old speed.
-_OLD = 0.5
+# Age from which a speed is corrected, and a new measurement counts more than
+# it.  Corrections of servers that were used a moment ago make nodes choose the
+# same ones, and fill slow ones when the others are busy.
+_MIN_AGE = 0.5
 
 
 def age(unused_s: float, other_requests: int, server_count: int) -> float:
@@ -75,7 +75,7 @@
     target_s, remaining_s : float
         Seconds until the latency target, and until the deadline.
     """
-    if speed_age < _NEW or slowest_s > remaining_s:
+    if speed_age < _MIN_AGE or slowest_s > remaining_s:
         return measured
     if slowest_s > target_s:
         speed_age /= _LATE_LIFETIME_FACTOR
@@ -84,6 +84,6 @@
 
 def update(speed: float, ratio: float, speed_age: float) -> float:
     """Return a speed after a ratio of expected to measured time."""
-    weight, max_ratio = (0.2, 2.0) if speed_age < _OLD else (0.6, 8.0)
+    weight, max_ratio = (0.2, 2.0) if speed_age < _MIN_AGE else (0.6, 8.0)
     sample = speed * min(max_ratio, max(0.5, ratio))
     return min(MAX_SPEED, max(MIN_SPEED, speed + weight * (sample - speed)))
--- a/tests/cover/relay/test_plain_server_speeds.py
+++ b/tests/cover/relay/test_plain_server_speeds.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.policy import demand as demands
 from foxtailrelay_node.internal.relay.policy import plain_placer
+from foxtailrelay_node.internal.relay.policy import speed_estimate
 import pytest
 
 from common import fake_clocks
@@ -81,3 +82,10 @@
     servers = [_SERVERS[0]._replace(zone='b'), *_SERVERS[1:]]
     sent = _play(1, 100.0, 0.0, 40.0, 3, servers=servers)
     assert _share(sent, 20.0) == 0.0
+
+
+def test_speed_that_was_measured_a_moment_ago_is_not_corrected():
+    """Guards against nodes that fill a slow server when others are busy."""
+    speed_age = speed_estimate.age(4.0, 10_000, 4)
+    found = speed_estimate.expected(0.3, 1.25, speed_age, 0.25, 0.5, 2.0)
+    assert found == 0.3
