--- a/tests/quality/test_partition_mutants.py
+++ b/tests/quality/test_partition_mutants.py
@@ -24,9 +24,9 @@
 
 
 def _check_end_of_peer():
-    """Check what the moment of the end shows; a wait would show it as well."""
+    """Check what the moment of the end shows; later losses would as well."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(answer_end, '_MAX_CONFIRM_S', 0.0)
+        patch.setattr(answer_end, 'SETTLE_S', 0.0)
         peers.test_end_of_a_peer_is_no_end_of_a_stream(
             peers.END_TASKS, 1.1, 'none'
         )
