Do not believe a new stream that ends before its first event

Seen by callers: a chunked answer with status 200 and a last chunk, and no event, passed as a whole stream (ORDER: complete before its last piece). A second answer in doubt was asked for only where a stream was taken up. Cause: an end of a new stream without events needed no confirmation. Change: a stream that may be resumed is begun by another server, and is whole without events once a second one answers so too; any other one ends with 502.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -260,15 +260,15 @@
     def _is_end_confirmed(self) -> bool:
         """Whether an answer without events is the end of the stream.
 
-        If the caller has events of it, a second server has to say the same,
-        where the route allows another attempt.
+        A second server has to say the same.  If the caller has events of the
+        stream, one server is enough where the route allows no other attempt.
         """
         if self._progress.position.has_later_events:
             return False
-        if self._progress.position.last_id is None:
-            return not self._connection.has_started_answer
         is_second = self._progress.has_empty_answer
         self._progress.has_empty_answer = True
+        if self._progress.position.last_id is None:
+            return is_second and not self._connection.has_started_answer
         route = self._job.access.route
         return is_second or not (
             self._connection.has_started_answer
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -383,6 +383,27 @@
     assert answer.status == 502
 
 
+def test_new_stream_without_an_event_is_not_whole():
+    """Guards against a stream that looks whole before its first event."""
+    (answer,) = _play('/stream/x', _EMPTY)
+    assert answer.status == 502
+
+
+@pytest.mark.parametrize('framing', [_CHUNKED, 'Content-Length: 0\r\n'])
+def test_new_stream_without_an_event_is_begun_by_another_server(framing):
+    empty = [_head(framing=framing), _END if framing == _CHUNKED else b'']
+    whole = [_head(), _chunks(1, 3), _END]
+    (answer,) = _play('/resume/x', empty, whole)
+    assert answer.is_whole
+    assert answer.event_ids == [1, 2, 3]
+
+
+def test_new_stream_without_an_event_is_believed_from_two_servers():
+    (answer,) = _play('/resume/x', _EMPTY, _EMPTY)
+    assert answer.is_whole
+    assert (answer.status, answer.body) == (200, b'')
+
+
 def test_events_of_another_server_go_before_an_empty_end():
     rest = [_head(), _chunks(3, 4), _END]
     (answer,) = _play('/resume/x', _EMPTY, rest, headers=_TAKEN_UP)
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -322,6 +322,14 @@
         ),
         endings.test_events_of_another_server_go_before_an_empty_end,
     ),
+    'an empty answer is a whole new stream': (
+        (
+            answer_forwarder.AnswerForwarder,
+            '_is_end_confirmed',
+            _always(True),
+        ),
+        endings.test_new_stream_without_an_event_is_not_whole,
+    ),
     'comments are events': (
         (event_splitter.Event, 'is_message', True),
         endings.test_stream_with_a_comment_is_resumed,
