Log what a server sent where an answer ended in another way

Cause: attempt-ended did not say whether a connection was kept, how it ended, how much of the answer came or what followed it, so wrong bytes of servers could not be told apart in logs.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
@@ -47,6 +47,11 @@
             'first_s': _rounded(progress.first_part_s),
             'gap_s': _rounded(progress.max_gap_s),
         }
+        is_whole = not isinstance(result, results.Broken)
+        fields |= backend.trace.describe(is_whole)
+        if not is_whole:
+            left_s = progress.attempt_deadline_s - self._context.now_s()
+            fields['left_s'] = round(left_s, 3)
         if is_link_cut:
             fields['link_cut'] = True
         match result:
@@ -87,7 +92,8 @@
         _LOG.info(
             'attempt-ended',
             extra=self._describe_attempt(job, server, progress, backend)
-            | {'outcome': 'cancelled', 'answered': has_answered},
+            | {'outcome': 'cancelled', 'answered': has_answered}
+            | backend.trace.describe(is_whole=False),
         )
 
     def _describe_attempt(
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from foxtailrelay_node.internal.relay.http import answer_trace
 from foxtailrelay_node.internal.relay.http import bulk_turns
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay.http import request_state
@@ -61,6 +62,8 @@
         What marks the end of the current answer.
     is_instance_proved : bool
         Whether the listed instance has shown that it is at the other end.
+    trace : AnswerTrace
+        What was received of the current answer, for the log.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self._http = _new_http()
         self.framing = Framing.NONE
         self.is_instance_proved = False
+        self.trace = answer_trace.AnswerTrace()
         self._is_head_request = False
         self._state = request_state.RequestState()
         self._has_received_end = False
@@ -161,6 +165,7 @@
         parts = [head + data[:_MAX_SEND_FIRST_BYTES]]
         if not self.sends_body_first(body):
             parts.append(memoryview(data)[_MAX_SEND_FIRST_BYTES:])
+        self.trace.begin(is_reused=not self.is_new)
         self._state.begin(request_id)
         self.framing = Framing.NONE
         self._is_head_request = method == 'HEAD'
@@ -246,6 +251,7 @@
 
     def prepare_reuse(self) -> bool:
         """Prepare for another request; return False if that is unsafe."""
+        self.trace.record_extra(self._http.trailing_data[0])
         if (
             not self._state.may_be_reused
             or self._http.trailing_data[0]
@@ -281,6 +287,7 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._stream.receive_some(_READ_BYTES)
+                    self.trace.record_bytes(data)
                     self._has_received_end = not data
                     is_full = len(data) == _READ_BYTES
                     self._events_left = 0 if is_full else _EVENTS_PER_TURN
@@ -296,6 +303,7 @@
                 kind = BackendDisconnected
             raise kind(f'not a valid answer: {error}') from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self.trace.record_reset()
             self._state.fail(f'connection lost: {error}')
             raise BackendDisconnected(f'connection lost: {error}') from error
 
