--- a/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
@@ -1,6 +1,6 @@
 """What a connection to a backend server has carried of an answer."""
 
-_SHOWN_BYTES = 40
+_SHOWN_BYTES = 120
 
 
 class AnswerTrace:
--- a/soak/answer_guarantees.py
+++ b/soak/answer_guarantees.py
@@ -11,7 +11,9 @@
 
 # What stand-ins write between events.
 _COMMENT = b': \n\n'
-_EVENT = re.compile(rb'(?:id: (\d+)\n)?data: ([^\n]*)\n\n')
+_EVENT = re.compile(
+    rb'(?:weight-versions: \d+\n)?(?:id: (\d+)\n)?data: ([^\n]*)\n\n'
+)
 _VERSIONS = (b'', b'v1', b'v2', b'v3')
 _SEAL = b'seal-'
 _SHOWN_BYTES = 200
@@ -266,11 +268,13 @@
     if number > record.total_events:
         return []
     names: typing.Sequence[bytes] = _VERSIONS
-    if engines.sources is not None:
-        names = engines.sources.names_of(record.request_id)
+    sources = engines.sources
+    if sources is not None:
+        names = sources.names_of(record.request_id)
     may_lack_ids = record.request_id in engines.idless_ids
     return [
-        event_text.encode_event(
+        line
+        + event_text.encode_event(
             number,
             record.request_id.encode(),
             name,
@@ -278,6 +282,11 @@
             has_id,
         )
         for name in names
+        for line in (
+            [b'']
+            if sources is None
+            else [b'', *sources.weights_lines(record.request_id, number, name)]
+        )
         for has_id in ((True, False) if may_lack_ids else (True,))
     ]
 
--- a/soak/event_guarantees.py
+++ b/soak/event_guarantees.py
@@ -8,7 +8,9 @@
 from soak import event_sources
 from soak import request_record
 
-_EVENT = re.compile(rb'(?:id: \d+\n)?data: ([^\n]*)\n\n')
+_EVENT = re.compile(
+    rb'(?:weight-versions: \d+\n)?(?:id: \d+\n)?data: ([^\n]*)\n\n'
+)
 
 
 class _Event(typing.NamedTuple):
--- a/soak/event_sources.py
+++ b/soak/event_sources.py
@@ -4,6 +4,7 @@
 import typing
 
 from soak import server_process
+from standin import wire_faults
 
 CHUNKED = 'chunked'
 _SHOWN_BYTES = 60
@@ -22,12 +23,20 @@
         The events that it wrote.
     framing : str
         What marked the end of its answer.
+    weights : frozenset of int
+        The events before which it named the version of its weights.
     """
 
     process: server_process.ServerProcess
     after: int
     numbers: frozenset[int]
     framing: str = CHUNKED
+    weights: frozenset[int] = frozenset()
+
+    @property
+    def weights_line(self) -> bytes:
+        """The line that names the version of its weights."""
+        return wire_faults.weights_line(self.process.number)
 
     def describe(self) -> str:
         """Return the process and the events for messages."""
@@ -62,6 +71,7 @@
                         run.after,
                         frozenset(run.numbers),
                         run.framing,
+                        frozenset(run.weights),
                     )
                 )
 
@@ -95,6 +105,21 @@
             and name in (None, run.process.stand_in.event_source)
         ]
 
+    def runs_of(self, request_id: str) -> list[Run]:
+        """Return all runs of a request."""
+        return self._runs_by_id.get(request_id, [])
+
+    def weights_lines(
+        self, request_id: str, number: int, name: bytes
+    ) -> set[bytes]:
+        """Return the lines that a process wrote before an event."""
+        return {
+            run.weights_line
+            for run in self.runs_of(request_id)
+            if number in run.weights
+            and run.process.stand_in.event_source == name
+        }
+
     def describe_event(self, number: int, text: bytes) -> str:
         """Return number, version and process of an event for messages."""
         process = self._process_by_source.get(text.partition(b' ')[0])
