--- a/soak/answer_guarantees.py
+++ b/soak/answer_guarantees.py
@@ -11,7 +11,9 @@
 
 # What stand-ins write between events.
 _COMMENT = b': \n\n'
-_EVENT = re.compile(rb'(?:id: (\d+)\n)?data: ([^\n]*)\n\n')
+_EVENT = re.compile(
+    rb'(?:weight-versions: \d+\n)?(?:id: (\d+)\n)?data: ([^\n]*)\n\n'
+)
 _VERSIONS = (b'', b'v1', b'v2', b'v3')
 _SEAL = b'seal-'
 _SHOWN_BYTES = 200
@@ -37,6 +39,9 @@
         Requests whose servers wrote events without ids.
     sources : EventSources or None
         Which processes wrote which events; None if events name none.
+    empty_ids : frozenset
+        Streams, new or taken up, that a server answered in full without any
+        event; an empty answer is right where no other run wrote one.
     """
 
     run_counts: collections.Counter[str]
@@ -44,6 +49,15 @@
     lied_ids: set[str]
     idless_ids: set[str]
     sources: event_sources.EventSources | None = None
+    empty_ids: frozenset[str] = frozenset()
+
+    def is_empty_stream(self, request_id: str) -> bool:
+        """Whether a stream was answered in full, without any event."""
+        return (
+            request_id in self.empty_ids
+            and self.sources is not None
+            and not any(r.numbers for r in self.sources.runs_of(request_id))
+        )
 
 
 class Violation(typing.NamedTuple):
@@ -181,6 +195,8 @@
         # The caller took the stream up, and one server answered in full that
         # nothing follows.
         return []
+    if not record.body and engines.is_empty_stream(record.request_id):
+        return []
     return _check_stream(record, engines)
 
 
@@ -266,11 +282,13 @@
     if number > record.total_events:
         return []
     names: typing.Sequence[bytes] = _VERSIONS
-    if engines.sources is not None:
-        names = engines.sources.names_of(record.request_id)
+    sources = engines.sources
+    if sources is not None:
+        names = sources.names_of(record.request_id)
     may_lack_ids = record.request_id in engines.idless_ids
     return [
-        event_text.encode_event(
+        line
+        + event_text.encode_event(
             number,
             record.request_id.encode(),
             name,
@@ -278,6 +296,11 @@
             has_id,
         )
         for name in names
+        for line in (
+            [b'']
+            if sources is None
+            else [b'', *sources.weights_lines(record.request_id, number, name)]
+        )
         for has_id in ((True, False) if may_lack_ids else (True,))
     ]
 
