--- a/tests/cover/soak_checks/test_event_checks.py
+++ b/tests/cover/soak_checks/test_event_checks.py
@@ -16,8 +16,8 @@
 from standin import wire_faults
 
 _TOTAL = 4
-_ROUTE = event_checks.Route('lm', True)
-_ONCE = event_checks.Route('lm', False)
+_ROUTE = event_checks.Route(frozenset({'lm', 'lm-b'}), True)
+_ONCE = event_checks.Route(frozenset({'lm'}), False)
 
 
 class Servers:
@@ -148,6 +148,17 @@
     assert not servers.fault([], empty_count=1, taken_up=2)
 
 
+@pytest.mark.parametrize('claims', [0, 1, 2])
+def test_a_new_stream_is_empty_only_if_two_servers_say_so(servers, claims):
+    assert bool(servers.fault([], empty_count=claims)) == (claims < 2)
+
+
+def test_a_stream_does_not_go_on_at_another_service(servers, whole):
+    resumed = servers.run('lm-b', 'r', range(3, 5), after=2)
+    text = _text(servers.fault(whole[:2] + resumed))
+    assert 'comes from lm-b, not from lm' in text
+
+
 def test_an_empty_answer_is_right_only_if_no_run_wrote_an_event(servers):
     def is_empty_stream():
         return answer_guarantees.EngineRecords(
