Add kinds of trouble that the soak lacked, with many streams open

Cause: no seed of the soak cut servers off, let processes change behind a cut, reset a share of connections, split the nodes or opened many streams at one place before it struck. Change: faults in groups, with callers that open 10 to 30 streams at the target just before. Half of the callers that take a stream up send no Resumes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -106,6 +106,7 @@
     callers = caller_kinds.build_callers(
         cluster, seed, _CALLERS_PER_NODE * command.nodes
     )
+    injector.clumps.others = callers
     violations = [
         answer_guarantees.Violation('the seed did not finish in time')
     ]
@@ -131,7 +132,11 @@
             cluster.checked_at_s = time.monotonic()
             connections = [
                 connection
-                for caller in [*callers, *injector.stops.late_callers]
+                for caller in [
+                    *callers,
+                    *injector.stops.late_callers,
+                    *injector.clumps.callers,
+                ]
                 for connection in caller.connections
             ]
             records = [
@@ -141,6 +146,7 @@
             ]
             violations = guarantees.find_violations(cluster, connections)
             violations += _check_recovery(records, recovered_from_s)
+            (folder / 'history.txt').write_text('\n'.join(injector.history))
             _save_transcripts(folder, connections, violations)
             nursery.cancel_scope.cancel()
     finally:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -65,25 +65,30 @@
         """Send requests until cancelled."""
         while True:
             host = self.only_host or self._rng.choice(self._cluster.hosts)
-            self._is_through_proxy = (
+            is_through_proxy = (
                 self.only_host is None and self._rng.random() < _PROXY_SHARE
             )
-            address = self._cluster.address(host, 'front')
-            if self._is_through_proxy:
-                address = self._cluster.front_proxy_address(host)
-            try:
-                connection = await recorded_connection.RecordedConnection.open(
-                    address, self.receive_buffer_bytes
-                )
-            except OSError:
-                await trio.sleep(0.1)
-                continue
-            self.connections.append(connection)
-            try:
-                await self._talk(connection, host)
-            finally:
-                await connection.aclose()
-            await trio.sleep(0.05)
+            await self.call(host, is_through_proxy)
+
+    async def call(self, host: str, is_through_proxy: bool) -> None:
+        """Open a connection to a node and use it."""
+        self._is_through_proxy = is_through_proxy
+        address = self._cluster.address(host, 'front')
+        if is_through_proxy:
+            address = self._cluster.front_proxy_address(host)
+        try:
+            connection = await recorded_connection.RecordedConnection.open(
+                address, self.receive_buffer_bytes
+            )
+        except OSError:
+            await trio.sleep(0.1)
+            return
+        self.connections.append(connection)
+        try:
+            await self._talk(connection, host)
+        finally:
+            await connection.aclose()
+        await trio.sleep(0.05)
 
     @abc.abstractmethod
     async def _talk(
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -8,9 +8,15 @@
 import trio
 
 from soak import all_node_faults
+from soak import clumps
+from soak import connection_faults
+from soak import fault_group
 from soak import fault_proxy
 from soak import link_faults
+from soak import platform_faults
 from soak import replacement_faults
+from soak import server_condition_faults
+from soak import server_cut_faults
 from soak import server_faults
 from soak import soak_cluster as soak_clusters
 from soak import stop_faults
@@ -39,6 +45,8 @@
         What was injected, and when.
     stops : StopFaults
         Planned stops, and their callers.
+    clumps : Clumps
+        Streams at the targets of faults, and their callers.
     """
 
     def __init__(
@@ -59,6 +67,16 @@
             cluster, rng, self.record
         )
         self.stops = stop_faults.StopFaults(cluster, rng, self.record)
+        self.clumps = clumps.Clumps(cluster, rng)
+        self._groups: list[fault_group.FaultGroup] = [
+            group(cluster, rng, self.record, self.clumps)
+            for group in (
+                server_cut_faults.ServerCutFaults,
+                connection_faults.ConnectionFaults,
+                server_condition_faults.ServerConditionFaults,
+                platform_faults.PlatformFaults,
+            )
+        ]
         self._all_nodes = all_node_faults.AllNodeFaults(
             cluster, rng, self.record, self.stops
         )
@@ -82,6 +100,11 @@
                             *self._servers.kinds(),
                             *self._replacements.kinds(),
                         ),
+                        tuple(
+                            kind
+                            for group in self._groups
+                            for kind in group.kinds()
+                        ),
                     ):
                         loops.start_soon(
                             self._start_faults, nursery, servers, kinds
--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -15,6 +15,7 @@
 # Shortest time until TCP sends a lost packet again; it doubles each time.
 _RESEND_S = 0.2
 _MAX_RESENDS = 6
+LOSS_SHARE = 0.03
 _RESET = struct.pack('ii', 1, 0)
 
 
@@ -74,7 +75,7 @@
         self.mode = Mode.NORMAL
         self.delay_s = 0.2
         self.bytes_per_s = 20_000
-        self.loss_share = 0.03
+        self.loss_share = LOSS_SHARE
         self._rng = random.Random(port)
         self._server_address = (host, port)
         self._receive_buffer_bytes = receive_buffer_bytes
@@ -92,6 +93,19 @@
         """Number of open connections."""
         return len(self._links)
 
+    def reset_share(self, rng: random.Random, share: float) -> int:
+        """Reset a share of the open connections; return their number."""
+        links = list(self._links)
+        links = rng.sample(links, math.ceil(len(links) * share))
+        for link in links:
+            link.end(with_reset=True)
+        return len(links)
+
+    def reset_after_rest(self) -> None:
+        """Let open connections end with a reset after all bytes under way."""
+        for link in self._links:
+            link.ends_with_reset = True
+
     def end_links(self) -> None:
         """Close all open connections; new ones are accepted."""
         for link in list(self._links):
@@ -158,6 +172,8 @@
         server = None
         try:
             with link.scope:
+                while self.mode is Mode.BLACKHOLE:
+                    await trio.sleep(_POLL_S)
                 server = await trio.open_tcp_stream(*self._server_address)
                 if self.mode is Mode.SMALL_BUFFERS:
                     _shrink_buffers(client)
@@ -198,6 +214,9 @@
             elif self.mode is Mode.LOSSY:
                 await trio.sleep(self._draw_resend_s(len(data)))
             if not data:
+                if link.ends_with_reset:
+                    link.end(with_reset=True)
+                    return
                 await destination.send_eof()
                 return
             await destination.send_all(data)
--- a/soak/process_change.py
+++ b/soak/process_change.py
@@ -25,6 +25,9 @@
     close_s : float
         Time in which the process ends its connections one after another,
         while it accepts and reports.
+    stays_connected : bool
+        Whether connections seem open when the process has ended: its proxy
+        is silent, and goes on to the next process when it no longer is.
     """
 
     service: str
@@ -35,6 +38,7 @@
     listed_after_s: float
     form: engine.AnswerForm
     close_s: float = 0.0
+    stays_connected: bool = False
 
     def describe(self) -> str:
         """Return the change for the history of faults."""
--- a/soak/request_maker.py
+++ b/soak/request_maker.py
@@ -50,6 +50,11 @@
         Kind of the caller.
     sizes : Sizes
         Sizes to choose from.
+
+    Attributes
+    ----------
+    prompt_part : str
+        If not empty, the first part of all prompts.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         kind: str,
         sizes: Sizes,
     ) -> None:
+        self.prompt_part = ''
         self._cluster = cluster
         self._rng = rng
         self._kind = kind
@@ -118,6 +124,7 @@
             host,
             self._kind,
             resumed=first,
+            names_first=self._rng.random() < 0.5,
             event_count=count,
             total_events=first.total_events,
             event_bytes=first.event_bytes,
@@ -155,7 +162,8 @@
             lines.append('Expect: 100-continue')
         if record.resumed is not None:
             lines.append(f'Last-Event-Id: {record.event_count}')
-            lines.append(f'Resumes: {record.resumed.request_id}')
+            if record.names_first:
+                lines.append(f'Resumes: {record.resumed.request_id}')
         if record.is_stream:
             lines.append('Token-Counts: 50,20')
             lines.append(f'Prompt-Prefix: {self._choose_prompt(record)}')
@@ -174,6 +182,8 @@
     def _choose_prompt(self, record: request_record.RequestRecord) -> str:
         """Return the parts of a prompt, at times with a crashing one."""
         parts = [f'aa{self._rng.randrange(2)}', f'b{self._rng.randrange(9)}']
+        if self.prompt_part:
+            parts[0] = self.prompt_part
         crashing_parts = sorted(self._cluster.crashing_parts)
         if crashing_parts and self._rng.random() < _CRASHING_SHARE:
             record.crashing_part = self._rng.choice(crashing_parts)
--- a/soak/request_record.py
+++ b/soak/request_record.py
@@ -26,6 +26,8 @@
     resumed : RequestRecord or None
         The attempt that received the first event of the stream, if the
         caller takes a stream up.
+    names_first : bool
+        Whether it names the first attempt when it takes a stream up.
     event_count : int
         Number of events received by earlier attempts.
     total_events : int
@@ -62,6 +64,7 @@
     crashing_part: bytes = b''
     crashing_request: tuple[bytes, bytes, bytes] | None = None
     resumed: 'RequestRecord | None' = None
+    names_first: bool = True
     event_count: int = 0
     total_events: int = 12
     event_bytes: int = 0
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -1,5 +1,6 @@
 """A cluster of real node processes with stand-ins for the platform."""
 
+import contextlib
 import itertools
 import json
 import pathlib
@@ -11,7 +12,9 @@
 import trio
 
 from common import relay_rig
+from soak import failing_cloud
 from soak import fault_proxy
+from soak import late_store
 from soak import loopback
 from soak import node_conditions
 from soak import node_processes
@@ -19,12 +22,10 @@
 from soak import production
 from soak import server_process as server_processes
 from soak import soak_times
-from standin import cloud
 from standin import cut_dialer
 from standin import engine
 from standin import room as rooms
 from standin import serving
-from standin import store
 
 _ENGINE_RESTART_S = 1.5
 QUICK_TIMEOUT_MS = 1000
@@ -58,8 +59,8 @@
         super().__init__(
             [f'{network}.{number}' for number in range(1, node_count + 1)]
         )
-        self.store = store.StoreStandIn()
-        self.cloud = cloud.CloudStandIn()
+        self.store = late_store.LateStore()
+        self.cloud = failing_cloud.FailingCloud()
         self.engine_by_id: dict[str, engine.EngineStandIn] = {}
         self.server_processes: list[server_processes.ServerProcess] = []
         self.draining_since_by_id: dict[str, float] = {}
@@ -91,6 +92,8 @@
         self._process_by_id: dict[str, server_processes.ServerProcess] = {}
         self._address_by_engine: dict[str, str] = {}
         self._cut_by_host: dict[str, cut_dialer.Cut] = {}
+        self._far_hosts_by_host: dict[str, list[str]] = {}
+        self._unlisted_ids: set[str] = set()
         self._front_port_by_host: dict[str, int] = {}
         self._proxy_by_address: dict[str, str] = {}
         self.processes = node_processes.NodeProcesses(folder, builds)
@@ -258,7 +261,8 @@
                 return old
         old.scope.cancel()
         self._end_span(old_id)
-        proxy.end(change.with_reset)
+        if not change.stays_connected:
+            proxy.end(change.with_reset)
         await trio.sleep(change.gap_s)
         self._replace_count += 1
         new_id = f'{change.service[0]}r{self._replace_count}'
@@ -272,7 +276,8 @@
         host, _, port = process.address.rpartition(':')
         proxy.set_server(host, int(port))
         host, _, port = address.rpartition(':')
-        await nursery.start(proxy.serve, host, int(port))
+        if not change.stays_connected:
+            await nursery.start(proxy.serve, host, int(port))
         self._set_proxy(new_id, proxy, address)
         await trio.sleep(change.listed_after_s)
         if not change.keeps_id and self._entry_by_id.pop(old_id, None):
@@ -346,11 +351,27 @@
         self.record_cut(host, cut is not cut_dialer.Cut.NONE)
         self._write_cut(host)
 
+    def split(self, hosts: typing.Sequence[str]) -> None:
+        """Cut some nodes off from the other nodes; none to heal the cut."""
+        for host in self.hosts:
+            self._far_hosts_by_host[host] = [
+                other
+                for other in self.hosts
+                if hosts and (other in hosts) != (host in hosts)
+            ]
+            self._write_cut(host)
+
     def _write_cut(self, host: str) -> None:
+        cut = self._cut_by_host.get(host, cut_dialer.Cut.NONE)
+        addresses = list(self._address_by_engine.values())
+        port = node_processes.PORTS['control']
+        far = [f'{h}:{port}' for h in self._far_hosts_by_host.get(host, [])]
+        if far and cut is cut_dialer.Cut.NONE:
+            cut, addresses = cut_dialer.Cut.HANG, []
         cut_dialer.write(
             self._cut_path(host),
-            self._cut_by_host.get(host, cut_dialer.Cut.NONE),
-            list(self._address_by_engine.values()),
+            cut,
+            addresses + far,
             self._proxy_by_address,
         )
 
@@ -390,7 +411,56 @@
     def _store_entry(self, server_id: str) -> None:
         entry = self._entry_by_id[server_id]
         entry['sequence'] += 1
-        self.store.put('keyed.servers', server_id, json.dumps(entry).encode())
+        if server_id not in self._unlisted_ids:
+            value = json.dumps(entry).encode()
+            self.store.put('keyed.servers', server_id, value)
+
+    def unlist(self, server_id: str) -> None:
+        """Let the entry of a server expire, until it is listed again."""
+        if server_id in self._entry_by_id:
+            self._unlisted_ids.add(server_id)
+            self.store.put('keyed.servers', server_id, b'')
+
+    def list_again(self, server_id: str) -> None:
+        """Write the entry of a server that has expired."""
+        if server_id in self._unlisted_ids:
+            self._unlisted_ids.remove(server_id)
+            if server_id in self._entry_by_id:
+                self._store_entry(server_id)
+
+    def set_slots(self, server_id: str, slots: int) -> None:
+        """Let the entry of a server name other slots."""
+        if server_id in self._entry_by_id:
+            self._entry_by_id[server_id]['slots'] = slots
+            self._store_entry(server_id)
+
+    @contextlib.contextmanager
+    def interrupted_span(self, server_id: str) -> typing.Iterator[None]:
+        """Record that nothing at a server's address serves meanwhile."""
+        proxy = self.proxy_by_engine[server_id]
+        begun_s = time.monotonic()
+        self._end_span(server_id)
+        try:
+            yield
+        finally:
+            for process in self._process_by_id.values():
+                name = process.server_id
+                if (
+                    process.has_ended
+                    or self.proxy_by_engine.get(name) is not proxy
+                    or name in self.draining_since_by_id
+                ):
+                    continue
+                self.serving_spans = [
+                    span
+                    for span in self.serving_spans
+                    if span.server_id != name or span.from_s < begun_s
+                ]
+                self.serving_spans.append(
+                    soak_times.ServingSpan(
+                        name, process.version, time.monotonic()
+                    )
+                )
 
     def write_again(self) -> None:
         """Write what the operator and the servers wrote before a restore."""
--- a/soak/stream_guarantees.py
+++ b/soak/stream_guarantees.py
@@ -28,6 +28,8 @@
         record.status == 200
         for record in records
         if record.resumed is not None
+        # Without the name of the first attempt, nodes may refuse.
+        and record.names_first
         and cluster.is_in_touch(record.host, record.sent_at_s)
         and _is_version_served(cluster, record)
     ]
