--- a/soak/clumps.py
+++ b/soak/clumps.py
@@ -88,13 +88,14 @@
     def _open(self, nursery: trio.Nursery, hosts: list[str]) -> None:
         """Start the callers of one clump."""
         self._clump_count += 1
-        part = f'clump{self._clump_count}'
+        # Parts of prompts are hexadecimal.
+        part = f'c0{self._clump_count:x}'
         count = min(self._rng.randint(*_COUNTS), _MAX_OPEN - self._open_count)
         for index in range(count):
             caller = clump_caller.ClumpCaller(
                 self._cluster,
                 random.Random(self._rng.getrandbits(32)),
-                f'{part}c{index}',
+                f'clump{self._clump_count}c{index}',
                 self._rng.choice(hosts),
                 part,
             )
