--- a/soak/server_cut_faults.py
+++ b/soak/server_cut_faults.py
@@ -23,8 +23,11 @@
 _SERVERS_SHARE = (0.3, 0.6)
 _OTHER_SERVICE = {'plain': 'model', 'model': 'plain'}
 _VERSIONS = ('v1', 'v2', 'v3')
-# Nodes as a rule open their connections anew within it.
+# No process listens in this time.
 _MAX_GAP_S = 0.3
+_SWAP_SHARE = 0.3
+# With fewer, most requests of the service would fail for want of servers.
+_MIN_SERVERS = 3
 
 
 class Cut(typing.NamedTuple):
@@ -36,28 +39,35 @@
         What its connections from nodes do meanwhile.
     seconds : float
         Time until the cut heals.
-    reborn_as : str
-        Service of the process that follows behind the cut; empty for none.
+    is_reborn : bool
+        Whether the process ends behind the cut and another one follows.
+    swaps_service : bool
+        Whether the process that follows belongs to the other service.
     loses_store : bool
         Whether its entry disappears.
     """
 
     mode: fault_proxy.Mode
     seconds: float
-    reborn_as: str = ''
+    is_reborn: bool = False
+    swaps_service: bool = False
     loses_store: bool = True
 
     def describe(self) -> str:
         """Return the cut for the history of faults."""
         text = f'{self.mode.value} for {self.seconds:.1f} s'
-        if self.reborn_as:
-            text += f', reborn as {self.reborn_as}'
+        if self.is_reborn:
+            text += ', reborn'
+        if self.swaps_service:
+            text += ' as the other service'
         return text
 
 
 class ServerCutFaults(fault_group.FaultGroup):
     """Cuts servers off from the store, and at times from the nodes."""
 
+    _added_count = 0
+
     def kinds(self) -> tuple[typing.Callable, ...]:
         """Return the faults; each takes the nursery of the servers."""
         return (
@@ -81,7 +91,7 @@
     async def _srv_cut_reborn(self, servers) -> None:
         """Let the process of a server end and start behind the cut."""
         chosen = await self._gather_at_servers(servers, 1)
-        cut = self._draw_reborn(chosen)
+        cut = self._draw_reborn()
         await self._cut_all(servers, chosen, cut, 'srv_cut')
 
     async def _node_cut_servers(self, servers) -> None:
@@ -96,14 +106,14 @@
     async def _node_cut_servers_reborn(self, servers) -> None:
         """Let a share of the servers start again behind their cuts."""
         chosen = await self._gather_share(servers)
-        cut = self._draw_reborn(chosen)
+        cut = self._draw_reborn()
         await self._cut_all(servers, chosen, cut, 'node_cut servers')
 
     async def _replace_with_reuse_dark(self, servers) -> None:
         """Let another service follow a server that has fallen silent."""
         chosen = await self._gather_at_servers(servers, 1)
         await self._cut_all(
-            servers, chosen, self._draw_reuse(chosen), 'replace_with_reuse'
+            servers, chosen, self._draw_reuse(), 'replace_with_reuse'
         )
 
     async def _replace_with_reuse_side(self, servers) -> None:
@@ -118,7 +128,7 @@
                 self._restart, host, process, self._rng.uniform(0.2, 1.0)
             )
             await self._cut_all(
-                servers, chosen, self._draw_reuse(chosen), 'replace_with_reuse'
+                servers, chosen, self._draw_reuse(), 'replace_with_reuse'
             )
 
     async def _gather_share(self, servers) -> list[str]:
@@ -133,19 +143,20 @@
         count = int(len(server_ids) * self._rng.uniform(*_SERVERS_SHARE))
         return first + self._rng.sample(server_ids, count)
 
-    def _draw_reborn(self, chosen: list[str]) -> Cut:
-        service = 'plain' if chosen and chosen[0][0] == 'p' else 'model'
-        if self._rng.random() < 0.3:
-            service = _OTHER_SERVICE[service]
-        seconds = self._rng.uniform(*_CUT_S)
-        return Cut(fault_proxy.Mode.BLACKHOLE, seconds, service)
+    def _draw_reborn(self) -> Cut:
+        return Cut(
+            fault_proxy.Mode.BLACKHOLE,
+            self._rng.uniform(*_CUT_S),
+            is_reborn=True,
+            swaps_service=self._rng.random() < _SWAP_SHARE,
+        )
 
-    def _draw_reuse(self, chosen: list[str]) -> Cut:
-        service = 'plain' if chosen and chosen[0][0] == 'p' else 'model'
+    def _draw_reuse(self) -> Cut:
         return Cut(
             fault_proxy.Mode.BLACKHOLE,
             self._rng.uniform(0.5, 4.0),
-            _OTHER_SERVICE[service],
+            is_reborn=True,
+            swaps_service=True,
             loses_store=False,
         )
 
@@ -166,7 +177,7 @@
                 proxy.loss_share = _LOSS_SHARE
                 proxy.set_mode(cut.mode)
                 async with trio.open_nursery() as nursery:
-                    if cut.reborn_as:
+                    if cut.is_reborn:
                         nursery.start_soon(
                             self._replace, servers, server_id, cut
                         )
@@ -174,7 +185,7 @@
                     if cut.loses_store and cut.seconds > _LISTED_S:
                         self._cluster.unlist(server_id)
                         await trio.sleep(cut.seconds - _LISTED_S)
-                    if cut.reborn_as and self._rng.random() < 0.5:
+                    if cut.is_reborn and self._rng.random() < 0.5:
                         proxy.reset_after_rest()
                     proxy.set_mode(fault_proxy.Mode.NORMAL)
                 await trio.sleep(self._rng.uniform(0.0, _MAX_RELISTED_S))
@@ -189,16 +200,17 @@
         await trio.sleep(passed_s)
         if not self._cluster.is_replaceable(server_id):
             return
-        is_same = cut.reborn_as[0] == server_id[0]
+        lost = 'plain' if server_id[0] == 'p' else 'model'
+        service = _OTHER_SERVICE[lost] if cut.swaps_service else lost
         versions = self._cluster.version_by_service
-        version = versions[cut.reborn_as]
+        version = versions[service]
         if self._rng.random() < 0.5:
             version = self._rng.choice(_VERSIONS)
         gap_s = self._rng.uniform(0.0, min(_MAX_GAP_S, cut.seconds / 10))
         change = process_change.ProcessChange(
-            cut.reborn_as,
+            service,
             version,
-            is_same and self._rng.random() < 0.5,
+            service == lost and self._rng.random() < 0.5,
             False,
             gap_s,
             cut.seconds
@@ -214,3 +226,8 @@
         )
         with trio.CancelScope(shield=True):
             await self._cluster.replace_process(servers, server_id, change)
+            if len(self._cluster.replaceable_ids(lost)) < _MIN_SERVERS:
+                self._added_count += 1
+                name = f'{lost[0]}c{self._added_count}'
+                self._record(f'{name} joins, as servers of {lost} are few')
+                await self._cluster.add_engine(servers, lost, name)
