Keep overlapping cuts and brittle servers in order in the soak

Cause: when the first of two cuts of a server healed, the checks counted the server as serving; a clump could change the slots that a brittle server names. Change: the span goes on when the last cut has healed; servers with a room keep their slots, and a clump that is cancelled gives them back.

--- a/soak/clumps.py
+++ b/soak/clumps.py
@@ -53,11 +53,14 @@
         self, nursery: trio.Nursery, server_id: str
     ) -> int:
         """Open streams that prefer a server; return how many it has."""
-        if server_id[0] == 'm':
-            self._cluster.set_slots(server_id, _CLUMP_SLOTS)
+        if server_id[0] != 'm':
+            await trio.lowlevel.checkpoint()
+            return 0
+        self._cluster.set_slots(server_id, _CLUMP_SLOTS)
+        try:
             self._open(nursery, self._cluster.hosts)
-        await trio.sleep(self._rng.uniform(*_ANNOUNCED_S))
-        if server_id[0] == 'm':
+            await trio.sleep(self._rng.uniform(*_ANNOUNCED_S))
+        finally:
             self._cluster.set_slots(server_id, _USUAL_SLOTS)
         return self.count_at_server(server_id)
 
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -1,5 +1,6 @@
 """A cluster of real node processes with stand-ins for the platform."""
 
+import collections
 import contextlib
 import itertools
 import json
@@ -94,6 +95,9 @@
         self._cut_by_host: dict[str, cut_dialer.Cut] = {}
         self._far_hosts_by_host: dict[str, list[str]] = {}
         self._unlisted_ids: set[str] = set()
+        self._interruptions: collections.Counter[fault_proxy.FaultProxy] = (
+            collections.Counter()
+        )
         self._front_port_by_host: dict[str, int] = {}
         self._proxy_by_address: dict[str, str] = {}
         self.processes = node_processes.NodeProcesses(folder, builds)
@@ -429,8 +433,11 @@
                 self._store_entry(server_id)
 
     def set_slots(self, server_id: str, slots: int) -> None:
-        """Let the entry of a server name other slots."""
-        if server_id in self._entry_by_id:
+        """Let the entry of a server without a room name other slots."""
+        if (
+            server_id in self._entry_by_id
+            and self.engine_by_id[server_id].room is None
+        ):
             self._entry_by_id[server_id]['slots'] = slots
             self._store_entry(server_id)
 
@@ -438,17 +445,20 @@
     def interrupted_span(self, server_id: str) -> typing.Iterator[None]:
         """Record that nothing at a server's address serves meanwhile."""
         proxy = self.proxy_by_engine[server_id]
+        self._interruptions[proxy] += 1
         begun_s = time.monotonic()
         self._end_span(server_id)
         try:
             yield
         finally:
+            self._interruptions[proxy] -= 1
             for process in self._process_by_id.values():
                 name = process.server_id
                 if (
                     process.has_ended
                     or self.proxy_by_engine.get(name) is not proxy
                     or name in self.draining_since_by_id
+                    or self._interruptions[proxy]
                 ):
                     continue
                 self.serving_spans = [
