Play cuts of single servers, resets and losses of power in the emulator

Change: the cut dialer fails links to single addresses (silent, one way, reset, lossy) and resets a share of the open connections once; what has not arrived through a silent link is no pending input.

--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -8,13 +8,11 @@
 
 import trio
 
+from standin import packet_loss
+
 _READ_BYTES = 65536
 _SMALL_BYTES = 2304
 _POLL_S = 0.1
-_PACKET_BYTES = 1448
-# Shortest time until TCP sends a lost packet again; it doubles each time.
-_RESEND_S = 0.2
-_MAX_RESENDS = 6
 _RESET = struct.pack('ii', 1, 0)
 
 
@@ -117,6 +115,13 @@
             link.end(with_reset=False)
             await trio.sleep(seconds / len(links))
 
+    def reset_links(self, rng: random.Random, share: float) -> int:
+        """Reset a share of the open connections; return how many."""
+        links = [link for link in self._links if rng.random() < share]
+        for link in links:
+            link.end(with_reset=True)
+        return len(links)
+
     def set_server(self, host: str, port: int) -> None:
         """Set the address of the server for new connections."""
         self._server_address = (host, port)
@@ -196,24 +201,16 @@
             elif self.mode is Mode.THROTTLED:
                 await trio.sleep(len(data) / self.bytes_per_s)
             elif self.mode is Mode.LOSSY:
-                await trio.sleep(self._draw_resend_s(len(data)))
+                await trio.sleep(
+                    packet_loss.draw_resend_s(
+                        self._rng, len(data), self.loss_share
+                    )
+                )
             if not data:
                 await destination.send_eof()
                 return
             await destination.send_all(data)
 
-    def _draw_resend_s(self, byte_count: int) -> float:
-        """Return how long TCP takes to repeat what is lost of some bytes."""
-        total_s = 0.0
-        for _ in range(math.ceil(byte_count / _PACKET_BYTES)):
-            resends = 0
-            while (
-                resends < _MAX_RESENDS and self._rng.random() < self.loss_share
-            ):
-                total_s += _RESEND_S * 2**resends
-                resends += 1
-        return total_s
-
 
 def _shrink_buffers(stream: trio.SocketStream) -> None:
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
--- a/soak/recorded_connection.py
+++ b/soak/recorded_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection that keeps each byte it receives."""
 
 import socket
+import struct
 import time
 
 import trio
@@ -102,6 +103,10 @@
             return False
         try:
             data = await self._stream.receive_some(max_bytes)
+        except trio.ClosedResourceError:
+            if self.end is not answer_reader.End.RESET:
+                raise
+            return False
         except trio.BrokenResourceError:
             self._end(answer_reader.End.RESET)
             return False
@@ -128,6 +133,16 @@
             return False
         return True
 
+    async def reset(self) -> None:
+        """Reset the connection, as something on the way to the node may."""
+        if self.end is not None:
+            return
+        self._end(answer_reader.End.RESET)
+        self._stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        await trio.aclose_forcefully(self._stream)
+
     async def aclose(self) -> None:
         """Close the connection."""
         self._end(answer_reader.End.LEFT)
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -1,5 +1,6 @@
 """A cluster of real node processes with stand-ins for the platform."""
 
+import collections
 import itertools
 import json
 import pathlib
@@ -22,6 +23,7 @@
 from standin import cloud
 from standin import cut_dialer
 from standin import engine
+from standin import link_faults
 from standin import room as rooms
 from standin import serving
 from standin import store
@@ -91,6 +93,9 @@
         self._process_by_id: dict[str, server_processes.ServerProcess] = {}
         self._address_by_engine: dict[str, str] = {}
         self._cut_by_host: dict[str, cut_dialer.Cut] = {}
+        self.link_faults_by_host: dict[str, link_faults.LinkFaults] = (
+            collections.defaultdict(link_faults.LinkFaults)
+        )
         self._front_port_by_host: dict[str, int] = {}
         self._proxy_by_address: dict[str, str] = {}
         self.processes = node_processes.NodeProcesses(folder, builds)
@@ -352,6 +357,7 @@
             self._cut_by_host.get(host, cut_dialer.Cut.NONE),
             list(self._address_by_engine.values()),
             self._proxy_by_address,
+            self.link_faults_by_host[host],
         )
 
     def _cut_path(self, host: str) -> pathlib.Path:
