--- a/soak/platform_faults.py
+++ b/soak/platform_faults.py
@@ -5,10 +5,10 @@
 
 import trio
 
-from soak import failing_cloud
 from soak import fault_group
 from soak import fault_proxy
 
+_CLOUD_MODES = ('silent', 'busy', 'reset')
 _DOWN_S = (1.0, 6.0)
 _LATE_SHARES = (0.1, 0.3)
 _FREEZE_S = (5.0, 8.0)
@@ -32,14 +32,14 @@
 
     async def _cloud_down(self, servers) -> None:
         """Let all calls of the cloud API fail."""
-        mode = self._rng.choice(failing_cloud.FAILURE_MODES)
+        mode = self._rng.choice(_CLOUD_MODES)
         seconds = self._rng.uniform(*_DOWN_S)
         self._record(f'cloud_down: {mode} for {seconds:.1f} s')
         try:
-            self._cluster.cloud.failure_mode = mode
+            self._cluster.cloud.faults.failure_mode = mode
             await trio.sleep(seconds)
         finally:
-            self._cluster.cloud.failure_mode = ''
+            self._cluster.cloud.faults.failure_mode = ''
 
     async def _platform_lost_late(self, servers) -> None:
         """Let the store carry out some appends late, without an answer."""
@@ -51,10 +51,10 @@
         # Reports of all nodes may come late, so that peers miss them.
         with self._cluster.all_disrupted():
             try:
-                self._cluster.store.late_share = share
+                self._cluster.store.faults.late_append_share = share
                 await trio.sleep(seconds)
             finally:
-                self._cluster.store.late_share = 0.0
+                self._cluster.store.faults.late_append_share = 0.0
 
     def _choose_leader(self) -> str:
         """Return the node that reported last, or any."""
--- a/soak/soak_cluster.py
+++ b/soak/soak_cluster.py
@@ -13,9 +13,7 @@
 import trio
 
 from common import relay_rig
-from soak import failing_cloud
 from soak import fault_proxy
-from soak import late_store
 from soak import loopback
 from soak import node_conditions
 from soak import node_processes
@@ -23,10 +21,13 @@
 from soak import production
 from soak import server_process as server_processes
 from soak import soak_times
+from standin import cloud
 from standin import cut_dialer
 from standin import engine
+from standin import link_faults
 from standin import room as rooms
 from standin import serving
+from standin import store
 
 _ENGINE_RESTART_S = 1.5
 QUICK_TIMEOUT_MS = 1000
@@ -60,8 +61,8 @@
         super().__init__(
             [f'{network}.{number}' for number in range(1, node_count + 1)]
         )
-        self.store = late_store.LateStore()
-        self.cloud = failing_cloud.FailingCloud()
+        self.store = store.StoreStandIn()
+        self.cloud = cloud.CloudStandIn()
         self.engine_by_id: dict[str, engine.EngineStandIn] = {}
         self.server_processes: list[server_processes.ServerProcess] = []
         self.draining_since_by_id: dict[str, float] = {}
@@ -98,6 +99,9 @@
         self._interruptions: collections.Counter[fault_proxy.FaultProxy] = (
             collections.Counter()
         )
+        self.link_faults_by_host: dict[str, link_faults.LinkFaults] = (
+            collections.defaultdict(link_faults.LinkFaults)
+        )
         self._front_port_by_host: dict[str, int] = {}
         self._proxy_by_address: dict[str, str] = {}
         self.processes = node_processes.NodeProcesses(folder, builds)
@@ -377,6 +381,7 @@
             cut,
             addresses + far,
             self._proxy_by_address,
+            self.link_faults_by_host[host],
         )
 
     def _cut_path(self, host: str) -> pathlib.Path:
