Do not believe plain answers in chunks that end at the deadline

Seen by callers: a plain answer whose server stopped at the deadline it was given, and marked the end with a last chunk, passed as a whole 200 (MIXED: not the engine's whole body). Change: the same check for plain answers with status 2xx in chunks, collected or forwarded in parts. Result: two cases of the new test fail before and pass now; two mutants.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -102,6 +102,8 @@
             if has_room:
                 return results.Broken('the answer is too long')
             return self._record_without_room(len(body))
+        if head.is_success and self._may_be_given_up():
+            return results.Broken.at_deadline()
         verdict = await self._find_verdict_of_end()
         if isinstance(verdict, results.Broken):
             return verdict
@@ -227,9 +229,7 @@
                 'the answer ended without an event of the stream'
             )
         if self._may_be_given_up():
-            return results.Broken(
-                'the stream ended at the deadline', is_at_deadline=True
-            )
+            return results.Broken.at_deadline()
         verdict = await self._find_verdict_of_end()
         if isinstance(verdict, results.Broken):
             return verdict
@@ -246,7 +246,7 @@
         return results.Done(self._backend.is_close_delimited)
 
     def _may_be_given_up(self) -> bool:
-        """Whether a server may have ended a stream in chunks at its deadline.
+        """Whether a server may have ended an answer in chunks at its deadline.
 
         The end of a connection is judged apart.
         """
@@ -300,6 +300,8 @@
         while (part := await self._backend.receive_part()) is not None:
             await self._connection.send_part(part)
             self._progress.long_bytes += len(part)
+        if head.is_success and self._may_be_given_up():
+            return results.Broken.at_deadline()
         self._record_end()
         await self._connection.finish_answer()
         return results.Done()
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/results.py
@@ -76,6 +76,11 @@
     is_without_room: bool = False
     is_at_deadline: bool = False
 
+    @classmethod
+    def at_deadline(cls) -> 'Broken':
+        """Return the result of an answer that its server may have given up."""
+        return cls('the answer ended at the deadline', is_at_deadline=True)
+
 
 @dataclasses.dataclass(frozen=True)
 class ServerFailure:
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -105,7 +105,7 @@
         await trio.lowlevel.checkpoint()
 
 
-def _play(path, *scripts, headers=()):
+def _play(path, *scripts, headers=(), service='model'):
     """Return the answers that a caller gets from engines with scripts."""
     received = []
 
@@ -132,7 +132,7 @@
 
             rig.dialer.connect = connect_scripted
             for index in range(1, len(scripts) + 1):
-                rig.add_server('model', index, None)
+                rig.add_server(service, index, None)
             if headers:
                 # A caller's resume needs a history of the servers' versions.
                 await trio.sleep(10.0)
@@ -229,6 +229,27 @@
     assert answer.event_ids == [1, 2, 3]
 
 
+def _plain(framing=_CHUNKED, status='200 OK'):
+    return _head(status, framing).replace(b'event-stream', b'plain')
+
+
+@pytest.mark.parametrize('length', [4, 5_000_000])
+@pytest.mark.parametrize('pause_s', [3.94, 3.955])
+def test_plain_answer_that_ends_at_the_deadline_is_not_whole(length, pause_s):
+    """Guards against a part of an answer that its server gave up."""
+    part = _chunk(b'x' * length)
+    script = [_plain(), part, Sleep(pause_s), _END]
+    (answer,) = _play('/once/x', script, service='plain')
+    is_believed = pause_s == 3.94
+    assert (answer.status == 200 and answer.is_whole) is is_believed
+
+
+def test_failure_in_chunks_at_the_deadline_is_passed_on():
+    script = [Sleep(3.955), _plain(status='504 Late'), _chunk(b'late'), _END]
+    (answer,) = _play('/once/x', script, service='plain')
+    assert (answer.status, answer.body) == (504, b'late')
+
+
 @pytest.mark.parametrize('blank', [b'\n', b'\r\n', b'\n\n'])
 def test_stream_may_end_with_blank_lines(blank):
     script = [_head(), _chunks(1, 3), _chunk(blank), _END]
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -322,6 +322,28 @@
         ),
         endings.test_events_of_another_server_go_before_an_empty_end,
     ),
+    'streams that servers give up are whole': (
+        (
+            answer_forwarder.AnswerForwarder,
+            '_may_be_given_up',
+            _always(False),
+        ),
+        lambda: endings.test_stream_that_breaks_off_does_not_look_whole(
+            'last chunk at the deadline'
+        ),
+    ),
+    'plain answers that servers give up are whole': (
+        (
+            answer_forwarder.AnswerForwarder,
+            '_may_be_given_up',
+            _always(False),
+        ),
+        lambda: (
+            endings.test_plain_answer_that_ends_at_the_deadline_is_not_whole(
+                3.955, 4
+            )
+        ),
+    ),
     'an empty answer is a whole new stream': (
         (
             answer_forwarder.AnswerForwarder,
