Take comments for no events at the end of a stream

Cause: an answer with nothing but comments or fields without data counted as one with events, so its last chunk was believed: a stream that broke off after event 2 and was taken up by such an answer looked whole, and so did a new stream without any event. Change: an answer has events once the stream's position has added one; the others need the confirmation of empty answers.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -215,11 +215,7 @@
                 'the stream ended in the middle of an event',
                 self._backend.is_close_delimited,
             )
-        has_events = (
-            self._progress.attempt_first_event_at_s is not None
-            # Comments only do not refute an end.
-            and self._progress.unconfirmed_end is None
-        )
+        has_events = self._has_events()
         if self._backend.is_close_delimited and not has_events:
             return results.Broken('the stream ended without an event', True)
         if not has_events and not self._is_end_confirmed():
@@ -245,6 +241,10 @@
         await self._connection.finish_answer()
         return results.Done(self._backend.is_close_delimited)
 
+    def _has_events(self) -> bool:
+        """Whether the answer has events; comments are none."""
+        return self._progress.position.added_count > 0
+
     def _may_be_given_up(self) -> bool:
         """Whether a server may have ended a stream in chunks at its deadline.
 
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -452,6 +452,30 @@
     assert answer.body == _events(1, 2) + b': alive\n\n' + _events(3, 4)
 
 
+_WITHOUT_DATA = [b': alive\n\n', b'weights: 3\n\n']
+
+
+@pytest.mark.parametrize('block', _WITHOUT_DATA)
+@pytest.mark.parametrize('framing', [_CHUNKED, ''])
+def test_comment_is_no_event_that_goes_on_with_a_stream(block, framing):
+    """Guards against an empty answer that ends a broken stream."""
+    data = _chunk(block) + _END if framing else block
+    empty = [_head(framing=framing), data]
+    (answer,) = _play('/resume/x', _BROKEN_AT_2, empty)
+    assert not answer.is_whole
+    assert answer.body == _events(1, 2) + block
+
+
+@pytest.mark.parametrize('block', _WITHOUT_DATA)
+def test_new_stream_with_a_comment_only_is_begun_by_another_engine(block):
+    empty = [_head(), _chunk(block), _END]
+    (answer,) = _play('/resume/x', empty, [_head(), _chunks(1, 3), _END])
+    assert answer.is_whole
+    assert answer.body == block + _events(1, 3)
+    (answer,) = _play('/stream/x', empty)
+    assert not answer.is_whole
+
+
 def test_stream_without_an_event_is_begun_by_another_engine():
     first = [_head(), Reset()]
     (answer,) = _play('/resume/x', first, [_head(), _chunks(1, 2), _END])
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -334,6 +334,12 @@
         (event_splitter.Event, 'is_message', True),
         endings.test_stream_with_a_comment_is_resumed,
     ),
+    'a comment shows that an answer has events': (
+        (answer_forwarder.AnswerForwarder, '_has_events', _always(True)),
+        lambda: endings.test_comment_is_no_event_that_goes_on_with_a_stream(
+            'Transfer-Encoding: chunked\r\n', b': alive\n\n'
+        ),
+    ),
 }
 
 
