Forget the claim of an empty answer once events have followed

Cause: a server's claim that a stream ends was kept after events of another server had refuted it. When that one broke off too, the empty answer of a third server counted as the second claim, and the cut stream looked whole; a route needs three attempts for it. Change: events that are added take back the claim.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -196,6 +196,8 @@
             if fault:
                 break
             data.append(event.data)
+        if self._has_events():
+            self._progress.refute_empty_answer()
         if data and self._may_forward():
             self._streams.record_event(
                 self._job, self._progress, self._placed.view.server
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -127,6 +127,10 @@
             with trio.CancelScope(shield=True):
                 await witness.aclose()
 
+    def refute_empty_answer(self) -> None:
+        """Record that events have followed after an answer without any."""
+        self.has_empty_answer = False
+
     def settle_end(self) -> None:
         """Record that a server has shown whether the stream goes on."""
         scope, self.unconfirmed_end = self.unconfirmed_end, None
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -3,6 +3,7 @@
 docs/design/stream-endings.md has the table that these cases come from.
 """
 
+import json
 import typing
 
 import pytest
@@ -105,7 +106,7 @@
         await trio.lowlevel.checkpoint()
 
 
-def _play(path, *scripts, headers=()):
+def _play(path, *scripts, headers=(), max_attempts=2):
     """Return the answers that a caller gets from engines with scripts."""
     received = []
 
@@ -133,10 +134,14 @@
             rig.dialer.connect = connect_scripted
             for index in range(1, len(scripts) + 1):
                 rig.add_server('model', index, None)
-            if headers:
+            if headers or max_attempts != 2:
                 # A caller's resume needs a history of the servers' versions.
                 await trio.sleep(10.0)
-                rig.confirm_configuration(relay_rig.encode_configuration(8))
+                content = relay_rig.decoded_configuration() | {'version': 8}
+                for route in content['routes']:
+                    if route['name'] == 'resume':
+                        route['max-attempts'] = max_attempts
+                rig.confirm_configuration(json.dumps(content).encode())
             caller = rig.connect()
             await caller.send(path, *_PROMPT, *headers, 'Connection: close')
             received.append(await caller.receive_all())
@@ -404,6 +409,22 @@
     assert (answer.status, answer.body) == (200, b'')
 
 
+@pytest.mark.parametrize(
+    ('first', 'headers'), [(1, ()), (3, ('Last-Event-Id: 2', 'Resumes: r0'))]
+)
+def test_empty_answer_that_events_refuted_confirms_no_end(first, headers):
+    """Guards against an end that one server alone has shown."""
+    broken = [_head(), _chunks(first, first + 1), Reset()]
+    scripts = [_EMPTY, broken, _EMPTY]
+    (answer,) = _play('/resume/x', *scripts, headers=headers, max_attempts=3)
+    assert not answer.is_whole
+    assert answer.event_ids == [first, first + 1]
+    (answer,) = _play(
+        '/resume/x', *scripts, _EMPTY, headers=headers, max_attempts=4
+    )
+    assert answer.is_whole
+
+
 def test_events_of_another_server_go_before_an_empty_end():
     rest = [_head(), _chunks(3, 4), _END]
     (answer,) = _play('/resume/x', _EMPTY, rest, headers=_TAKEN_UP)
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.attempts import end_prover
 from foxtailrelay_node.internal.relay.attempts import health_prober
 from foxtailrelay_node.internal.relay.attempts import instance_prover
+from foxtailrelay_node.internal.relay.attempts import progress
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import instance_report
@@ -330,6 +331,12 @@
         ),
         endings.test_new_stream_without_an_event_is_not_whole,
     ),
+    'an empty answer that events refuted confirms an end': (
+        (progress.Progress, 'refute_empty_answer', _always(None)),
+        lambda: endings.test_empty_answer_that_events_refuted_confirms_no_end(
+            1, ()
+        ),
+    ),
     'comments are events': (
         (event_splitter.Event, 'is_message', True),
         endings.test_stream_with_a_comment_is_resumed,
