Keep no more of an answer for the log than it shows

Cause: the trace of a connection kept all of its last read, up to 16384 bytes beside the memory budget, while the connection was kept; and of a long read the log showed the beginning only, not where the answer ended. Change: the trace keeps the first and the last 60 bytes of a longer read.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
@@ -1,6 +1,8 @@
 """What a connection to a backend server has carried of an answer."""
 
-_SHOWN_BYTES = 120
+# Of the beginning and of the end of what was read last.
+_SHOWN_BYTES = 60
+_GAP = b'...'
 
 
 class AnswerTrace:
@@ -25,7 +27,8 @@
         """Record what was read; nothing is an orderly close."""
         self._count += len(data)
         if data:
-            self._last = data
+            # A connection that is kept must not hold what it has read.
+            self._last = _shorten(data)
         else:
             self._end = 'close'
 
@@ -35,7 +38,7 @@
 
     def record_extra(self, data: bytes) -> None:
         """Record bytes that follow a whole answer."""
-        self._extra = data
+        self._extra = _shorten(data)
 
     def describe(self, is_whole: bool) -> dict[str, object]:
         """Return fields of a log line.
@@ -68,5 +71,11 @@
         return fields
 
 
-def _shown(data: bytes | bytearray) -> str:
-    return bytes(data[:_SHOWN_BYTES]).decode('ascii', 'backslashreplace')
+def _shorten(data: bytes | bytearray) -> bytes:
+    if len(data) <= 2 * _SHOWN_BYTES:
+        return bytes(data)
+    return bytes(data[:_SHOWN_BYTES]) + _GAP + bytes(data[-_SHOWN_BYTES:])
+
+
+def _shown(data: bytes) -> str:
+    return data.decode('ascii', 'backslashreplace')
--- a/tests/cover/relay/test_answer_trace.py
+++ b/tests/cover/relay/test_answer_trace.py
@@ -6,6 +6,7 @@
 from foxtailrelay_node.internal.relay.http import backend_connection
 
 _WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_LONG = b'HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n' + b'x' * 300 + b'end'
 
 
 def _trace(answer, is_reset=False):
@@ -49,6 +50,15 @@
                 'server_end': 'close',
             },
         ),
+        (
+            _LONG,
+            False,
+            {
+                'received_bytes': len(_LONG),
+                'last_bytes': f'{_LONG[:60].decode()}...{"x" * 57}end',
+                'server_end': 'close',
+            },
+        ),
         (
             b'\x16\x03',
             False,
