End no stream before an event that is known to follow

Cause: bytes of an event that a server broke off in refuted empty answers only. A caller that took the stream up one event further back got the event before it and a last chunk, as a whole stream. Change: an end of any kind before such an event counts as broken.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -196,7 +196,7 @@
             if fault:
                 break
             data.append(event.data)
-        if self._has_events():
+        if self._progress.position.has_added_events:
             self._progress.refute_empty_answer()
         if data and self._may_forward():
             self._streams.record_event(
@@ -217,13 +217,15 @@
                 'the stream ended in the middle of an event',
                 self._backend.is_close_delimited,
             )
-        has_events = self._has_events()
+        has_events = self._progress.position.has_added_events
         if self._backend.is_close_delimited and not has_events:
             return results.Broken('the stream ended without an event', True)
         if not has_events and not self._is_end_confirmed():
             return results.Broken(
                 'the answer ended without an event of the stream'
             )
+        if self._progress.position.is_before_known_event:
+            return results.Broken('the stream ended before a known event')
         if self._may_be_given_up():
             return results.Broken(
                 'the stream ended at the deadline', is_at_deadline=True
@@ -243,10 +245,6 @@
         await self._connection.finish_answer()
         return results.Done(self._backend.is_close_delimited)
 
-    def _has_events(self) -> bool:
-        """Whether the answer has events; comments are none."""
-        return self._progress.position.added_count > 0
-
     def _may_be_given_up(self) -> bool:
         """Whether a server may have ended a stream in chunks at its deadline.
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -55,6 +55,16 @@
         self._must_continue = False
         self._find_fault_of_first: typing.Callable[[int], str] | None = None
 
+    @property
+    def has_added_events(self) -> bool:
+        """Whether the current answer has added events; comments are none."""
+        return self.added_count > 0
+
+    @property
+    def is_before_known_event(self) -> bool:
+        """Whether an event with a higher number is known to exist."""
+        return self.following_id > (self.last_id or 0)
+
     def record_later_event(self, event_id: int) -> None:
         """Record that the stream has an event with a number."""
         self.following_id = max(self.following_id, event_id)
--- a/tests/cover/relay/test_broken_off_streams.py
+++ b/tests/cover/relay/test_broken_off_streams.py
@@ -60,3 +60,20 @@
         assert answer.status == 200
 
     play()
+
+
+@relay_rig.with_rig
+async def test_stream_that_is_taken_up_earlier_ends_no_sooner(rig):
+    """Guards against an end between what the caller has and a known event."""
+    _add_server(rig, 1, _EVENTS + _BEGUN[:-1], ends=False)
+    await _call(rig)
+    del rig.dialer.backend_by_host['10.0.0.1']
+    resumed = ('Last-Event-Id: 1', 'Resumes: r1')
+    _add_server(rig, 2, relay_rig.encode_event(2), ends=True)
+    answer = await _call(rig, *resumed)
+    assert not answer.is_whole
+    assert answer.event_ids == [2]
+    _add_server(rig, 3, _BEGUN, ends=True)
+    answer = await _call(rig, 'Last-Event-Id: 2', 'Resumes: r1')
+    assert answer.is_whole
+    assert answer.event_ids == [3]
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -28,6 +28,7 @@
 import pytest
 
 from cover.relay import test_answer_writes as writes
+from cover.relay import test_broken_off_streams as broken
 from cover.relay import test_closing_answers as closings
 from cover.relay import test_doubted_ends as ends
 from cover.relay import test_ending_processes as ending
@@ -337,12 +338,16 @@
             1, ()
         ),
     ),
+    'a stream may end before a known event': (
+        (stream_position.StreamPosition, 'is_before_known_event', False),
+        broken.test_stream_that_is_taken_up_earlier_ends_no_sooner,
+    ),
     'comments are events': (
         (event_splitter.Event, 'is_message', True),
         endings.test_stream_with_a_comment_is_resumed,
     ),
     'a comment shows that an answer has events': (
-        (answer_forwarder.AnswerForwarder, '_has_events', _always(True)),
+        (stream_position.StreamPosition, 'has_added_events', True),
         lambda: endings.test_comment_is_no_event_that_goes_on_with_a_stream(
             'Transfer-Encoding: chunked\r\n', b': alive\n\n'
         ),
