Log no bytes of answers whose callers have left

Cause: attempt-ended of a cancelled attempt showed up to 120 bytes of the answer, sound or not, each time a caller left or its time was up.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
@@ -93,7 +93,8 @@
             'attempt-ended',
             extra=self._describe_attempt(job, server, progress, backend)
             | {'outcome': 'cancelled', 'answered': has_answered}
-            | backend.trace.describe(is_whole=False),
+            # Its bytes may be a sound answer, which is the caller's.
+            | backend.trace.describe(is_whole=False, shows_bytes=False),
         )
 
     def _describe_attempt(
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
@@ -40,7 +40,9 @@
         """Record bytes that follow a whole answer."""
         self._extra = _shorten(data)
 
-    def describe(self, is_whole: bool) -> dict[str, object]:
+    def describe(
+        self, is_whole: bool, shows_bytes: bool = True
+    ) -> dict[str, object]:
         """Return fields of a log line.
 
         Parameters
@@ -48,6 +50,8 @@
         is_whole : bool
             Whether the answer was taken as whole; otherwise the last bytes
             read are shown.
+        shows_bytes : bool
+            Whether bytes of the answer may be shown.
 
         Examples
         --------
@@ -62,7 +66,7 @@
             fields['reused'] = True
         if not is_whole:
             fields['received_bytes'] = self._count
-            if self._last:
+            if self._last and shows_bytes:
                 fields['last_bytes'] = _shown(self._last)
         if self._end:
             fields['server_end'] = self._end
