--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -198,6 +198,8 @@
             if fault:
                 break
             data.append(event.data)
+        if self._progress.position.has_added_events:
+            self._progress.refute_empty_answer()
         if data and self._may_forward():
             self._streams.record_event(
                 self._job, self._progress, self._placed.view.server
@@ -217,17 +219,15 @@
                 'the stream ended in the middle of an event',
                 self._backend.is_close_delimited,
             )
-        has_events = (
-            self._progress.attempt_first_event_at_s is not None
-            # Comments only do not refute an end.
-            and self._progress.unconfirmed_end is None
-        )
+        has_events = self._progress.position.has_added_events
         if self._backend.is_close_delimited and not has_events:
             return results.Broken('the stream ended without an event', True)
         if not has_events and not self._is_end_confirmed():
             return results.Broken(
                 'the answer ended without an event of the stream'
             )
+        if self._progress.position.is_before_known_event:
+            return results.Broken('the stream ended before a known event')
         if self._may_be_given_up():
             return results.Broken.at_deadline()
         verdict = await self._find_verdict_of_end()
@@ -268,7 +268,9 @@
         is_second = self._progress.has_empty_answer
         self._progress.has_empty_answer = True
         if self._progress.position.last_id is None:
-            return is_second and not self._connection.has_started_answer
+            return self._job.may_have_no_event or (
+                is_second and not self._connection.has_started_answer
+            )
         route = self._job.access.route
         return is_second or not (
             self._connection.has_started_answer
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/answer_trace.py
@@ -1,6 +1,8 @@
 """What a connection to a backend server has carried of an answer."""
 
-_SHOWN_BYTES = 120
+# Of the beginning and of the end of what was read last.
+_SHOWN_BYTES = 60
+_GAP = b'...'
 
 
 class AnswerTrace:
@@ -25,7 +27,8 @@
         """Record what was read; nothing is an orderly close."""
         self._count += len(data)
         if data:
-            self._last = data
+            # A connection that is kept must not hold what it has read.
+            self._last = _shorten(data)
         else:
             self._end = 'close'
 
@@ -35,9 +38,11 @@
 
     def record_extra(self, data: bytes) -> None:
         """Record bytes that follow a whole answer."""
-        self._extra = data
+        self._extra = _shorten(data)
 
-    def describe(self, is_whole: bool) -> dict[str, object]:
+    def describe(
+        self, is_whole: bool, shows_bytes: bool = True
+    ) -> dict[str, object]:
         """Return fields of a log line.
 
         Parameters
@@ -45,6 +50,8 @@
         is_whole : bool
             Whether the answer was taken as whole; otherwise the last bytes
             read are shown.
+        shows_bytes : bool
+            Whether bytes of the answer may be shown.
 
         Examples
         --------
@@ -59,7 +66,7 @@
             fields['reused'] = True
         if not is_whole:
             fields['received_bytes'] = self._count
-            if self._last:
+            if self._last and shows_bytes:
                 fields['last_bytes'] = _shown(self._last)
         if self._end:
             fields['server_end'] = self._end
@@ -68,5 +75,11 @@
         return fields
 
 
-def _shown(data: bytes | bytearray) -> str:
-    return bytes(data[:_SHOWN_BYTES]).decode('ascii', 'backslashreplace')
+def _shorten(data: bytes | bytearray) -> bytes:
+    if len(data) <= 2 * _SHOWN_BYTES:
+        return bytes(data)
+    return bytes(data[:_SHOWN_BYTES]) + _GAP + bytes(data[-_SHOWN_BYTES:])
+
+
+def _shown(data: bytes) -> str:
+    return data.decode('ascii', 'backslashreplace')
--- a/tests/cover/relay/test_stream_endings.py
+++ b/tests/cover/relay/test_stream_endings.py
@@ -3,6 +3,7 @@
 docs/design/stream-endings.md has the table that these cases come from.
 """
 
+import json
 import typing
 
 import pytest
@@ -105,7 +106,15 @@
         await trio.lowlevel.checkpoint()
 
 
-def _play(path, *scripts, headers=(), service='model'):
+def _play(
+    path,
+    *scripts,
+    headers=(),
+    max_attempts=2,
+    prompt=_PROMPT,
+    method='POST',
+    service='model',
+):
     """Return the answers that a caller gets from engines with scripts."""
     received = []
 
@@ -133,12 +142,17 @@
             rig.dialer.connect = connect_scripted
             for index in range(1, len(scripts) + 1):
                 rig.add_server(service, index, None)
-            if headers:
+            if headers or max_attempts != 2:
                 # A caller's resume needs a history of the servers' versions.
                 await trio.sleep(10.0)
-                rig.confirm_configuration(relay_rig.encode_configuration(8))
+                content = relay_rig.decoded_configuration() | {'version': 8}
+                for route in content['routes']:
+                    if route['name'] == 'resume':
+                        route['max-attempts'] = max_attempts
+                rig.confirm_configuration(json.dumps(content).encode())
             caller = rig.connect()
-            await caller.send(path, *_PROMPT, *headers, 'Connection: close')
+            headers_sent = (*prompt, *headers, 'Connection: close')
+            await caller.send(path, *headers_sent, method=method)
             received.append(await caller.receive_all())
             nursery.cancel_scope.cancel()
 
@@ -419,12 +433,41 @@
     assert answer.event_ids == [1, 2, 3]
 
 
+@pytest.mark.parametrize('path', ['/stream/x', '/resume/x'])
+def test_stream_of_no_answer_tokens_is_whole_without_an_event(path):
+    prompt = ('Token-Counts: 100,0', _PROMPT[1])
+    (answer,) = _play(path, _EMPTY, prompt=prompt)
+    assert answer.is_whole
+    assert (answer.status, answer.body) == (200, b'')
+
+
+def test_answer_to_head_needs_no_event():
+    (answer,) = _play('/stream/x', [_head()], method='HEAD')
+    assert answer.status == 200
+
+
 def test_new_stream_without_an_event_is_believed_from_two_servers():
     (answer,) = _play('/resume/x', _EMPTY, _EMPTY)
     assert answer.is_whole
     assert (answer.status, answer.body) == (200, b'')
 
 
+@pytest.mark.parametrize(
+    ('first', 'headers'), [(1, ()), (3, ('Last-Event-Id: 2', 'Resumes: r0'))]
+)
+def test_empty_answer_that_events_refuted_confirms_no_end(first, headers):
+    """Guards against an end that one server alone has shown."""
+    broken = [_head(), _chunks(first, first + 1), Reset()]
+    scripts = [_EMPTY, broken, _EMPTY]
+    (answer,) = _play('/resume/x', *scripts, headers=headers, max_attempts=3)
+    assert not answer.is_whole
+    assert answer.event_ids == [first, first + 1]
+    (answer,) = _play(
+        '/resume/x', *scripts, _EMPTY, headers=headers, max_attempts=4
+    )
+    assert answer.is_whole
+
+
 def test_events_of_another_server_go_before_an_empty_end():
     rest = [_head(), _chunks(3, 4), _END]
     (answer,) = _play('/resume/x', _EMPTY, rest, headers=_TAKEN_UP)
@@ -473,6 +516,30 @@
     assert answer.body == _events(1, 2) + b': alive\n\n' + _events(3, 4)
 
 
+_WITHOUT_DATA = [b': alive\n\n', b'weights: 3\n\n']
+
+
+@pytest.mark.parametrize('block', _WITHOUT_DATA)
+@pytest.mark.parametrize('framing', [_CHUNKED, ''])
+def test_comment_is_no_event_that_goes_on_with_a_stream(block, framing):
+    """Guards against an empty answer that ends a broken stream."""
+    data = _chunk(block) + _END if framing else block
+    empty = [_head(framing=framing), data]
+    (answer,) = _play('/resume/x', _BROKEN_AT_2, empty)
+    assert not answer.is_whole
+    assert answer.body == _events(1, 2) + block
+
+
+@pytest.mark.parametrize('block', _WITHOUT_DATA)
+def test_new_stream_with_a_comment_only_is_begun_by_another_engine(block):
+    empty = [_head(), _chunk(block), _END]
+    (answer,) = _play('/resume/x', empty, [_head(), _chunks(1, 3), _END])
+    assert answer.is_whole
+    assert answer.body == block + _events(1, 3)
+    (answer,) = _play('/stream/x', empty)
+    assert not answer.is_whole
+
+
 def test_stream_without_an_event_is_begun_by_another_engine():
     first = [_head(), Reset()]
     (answer,) = _play('/resume/x', first, [_head(), _chunks(1, 2), _END])
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.attempts import end_prover
 from foxtailrelay_node.internal.relay.attempts import health_prober
 from foxtailrelay_node.internal.relay.attempts import instance_prover
+from foxtailrelay_node.internal.relay.attempts import progress
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
 from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import instance_report
@@ -27,6 +28,7 @@
 import pytest
 
 from cover.relay import test_answer_writes as writes
+from cover.relay import test_broken_off_streams as broken
 from cover.relay import test_closing_answers as closings
 from cover.relay import test_doubted_ends as ends
 from cover.relay import test_ending_processes as ending
@@ -352,10 +354,26 @@
         ),
         endings.test_new_stream_without_an_event_is_not_whole,
     ),
+    'an empty answer that events refuted confirms an end': (
+        (progress.Progress, 'refute_empty_answer', _always(None)),
+        lambda: endings.test_empty_answer_that_events_refuted_confirms_no_end(
+            1, ()
+        ),
+    ),
+    'a stream may end before a known event': (
+        (stream_position.StreamPosition, 'is_before_known_event', False),
+        broken.test_stream_that_is_taken_up_earlier_ends_no_sooner,
+    ),
     'comments are events': (
         (event_splitter.Event, 'is_message', True),
         endings.test_stream_with_a_comment_is_resumed,
     ),
+    'a comment shows that an answer has events': (
+        (stream_position.StreamPosition, 'has_added_events', True),
+        lambda: endings.test_comment_is_no_event_that_goes_on_with_a_stream(
+            'Transfer-Encoding: chunked\r\n', b': alive\n\n'
+        ),
+    ),
 }
 
 
