--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -219,14 +219,15 @@
                 'the stream ended in the middle of an event',
                 self._backend.is_close_delimited,
             )
-        has_events = self._progress.position.has_added_events
+        position = self._progress.position
+        has_events = position.has_added_events
         if self._backend.is_close_delimited and not has_events:
             return results.Broken('the stream ended without an event', True)
         if not has_events and not self._is_end_confirmed():
             return results.Broken(
                 'the answer ended without an event of the stream'
             )
-        if self._progress.position.is_before_known_event:
+        if position.is_before_known_event:
             return results.Broken('the stream ended before a known event')
         if self._may_be_given_up():
             return results.Broken.at_deadline()
@@ -250,12 +251,9 @@
 
         The end of a connection is judged apart.
         """
-        framing = self._backend.framing
-        return framing is backend_connection.Framing.CHUNKS and (
-            deadline_end.may_be_given_up(
-                self._progress.attempt_deadline_s - self._context.now_s()
-            )
-        )
+        left_s = self._progress.attempt_deadline_s - self._context.now_s()
+        is_chunked = self._backend.framing is backend_connection.Framing.CHUNKS
+        return is_chunked and deadline_end.may_be_given_up(left_s)
 
     def _is_end_confirmed(self) -> bool:
         """Whether an answer without events is the end of the stream.
