--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -129,13 +129,6 @@
             link.end(with_reset=False)
             await trio.sleep(seconds / len(links))
 
-    def reset_links(self, rng: random.Random, share: float) -> int:
-        """Reset a share of the open connections; return how many."""
-        links = [link for link in self._links if rng.random() < share]
-        for link in links:
-            link.end(with_reset=True)
-        return len(links)
-
     def set_server(self, host: str, port: int) -> None:
         """Set the address of the server for new connections."""
         self._server_address = (host, port)
--- a/tests/cover/test_emulator.py
+++ b/tests/cover/test_emulator.py
@@ -10,7 +10,7 @@
 import pytest
 from soak import answer_reader
 from soak import request_record
-from standin import sheet_server
+from standin import server_settings
 import trio
 
 _SHEET = """
@@ -144,7 +144,7 @@
 
 
 def test_events_sent_before_a_kill_are_recorded(tmp_path):
-    settings = sheet_server.Settings(
+    settings = server_settings.Settings(
         'lm-0-1', 'v1', 1, 5, '127.0.0.1', 0, 8, 0, 1.0, 0.0, 0.01
     )
     received = b''
@@ -172,7 +172,7 @@
 
 
 def test_a_mute_server_begins_no_request_and_answers_health_checks(tmp_path):
-    settings = sheet_server.Settings(
+    settings = server_settings.Settings(
         'lm-0-1', 'v1', 1, 5, '127.0.0.1', 0, 8, 0, 1.0, 0.0, 0.01
     )
 
--- a/tests/cover/test_emulator_counts.py
+++ b/tests/cover/test_emulator_counts.py
@@ -5,6 +5,7 @@
 from soak import answer_reader
 from soak import request_record
 from soak import server_process
+from standin import server_settings
 from standin import sheet_server
 
 
@@ -17,7 +18,7 @@
         )
 
     def process(number, framing, runs):
-        settings = sheet_server.Settings(
+        settings = server_settings.Settings(
             f'lm-0-{number}', 'v1', number, 5, '', 0, 8, 0, 1.0, 0.0, 0.01
         )
         path = tmp_path / str(number)
