Serve streams whose servers leave numbers of events out

Cause: the users' pages say "increasing ids", and nodes took each number that is not the next one for a missing event, so that each stream of servers that count tokens was broken off. Change: policy/event_steps.py learns by version whether numbers rise by more than one (most answers, three servers or more); attempts/step_reader.py reads one event further where a first number is refused. Until then, and for all other versions, a gap is a fault as before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -13,6 +13,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
+from foxtailrelay_node.internal.relay.attempts import step_reader
 from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
@@ -133,11 +134,8 @@
             return results.Broken(
                 'the answer has another status or type than the stream'
             )
-        self._progress.position.begin_answer(
-            lambda first_id: self._streams.find_fault_of_start(
-                self._placed.view.server, first_id
-            )
-        )
+        position = self._progress.position
+        self._streams.begin_answer(position, self._placed.view.server)
         splitter = event_splitter.EventSplitter()
         lease = self._open_lease()
         self._received_at_s = self._context.now_s()
@@ -148,13 +146,16 @@
                 if not lease.try_resize(splitter.buffered_bytes):
                     return self._record_without_room(splitter.buffered_bytes)
                 if events:
-                    fault = await self._forward(head, events)
-                    if fault:
+                    if fault := await self._forward(head, events):
+                        await step_reader.read_step(
+                            position, events, splitter, self._backend
+                        )
                         return results.Broken(fault)
                     self._record_partial_event(splitter)
         except event_splitter.MalformedEvent as error:
             return results.Broken(str(error))
         finally:
+            self._streams.record_steps(position, self._placed.view.server)
             self._streams.record_break(self._progress)
         return await self._finish_events(head, splitter)
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -9,6 +9,8 @@
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay import caller_request
+from foxtailrelay_node.internal.relay.policy import event_steps
+from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_start
 from foxtailrelay_node.internal.relay.policy import stream_version
 
@@ -20,8 +22,8 @@
 _MAX_KEEP_S = 600.0
 # The list of another node may be current.
 _OTHER_NODE_RETRY_AFTER_S = 0.3
-
-
+# Fewer may have no gap by chance.
+_EVENTS_OF_A_PROOF = 8
 # A server that replaces failed ones takes seconds to boot.
 _NO_SERVER_RETRY_AFTER_S = 1.0
 
@@ -38,15 +40,33 @@
     def __init__(self, context: attempt_context.AttemptContext) -> None:
         self._context = context
         self._starts = stream_start.StreamStarts()
+        self._steps = event_steps.EventSteps()
 
-    def find_fault_of_start(
-        self, server: backend_server.BackendServer, first_id: int
-    ) -> str:
-        """Return why a stream cannot begin with an event, or nothing."""
-        return self._starts.find_fault(
-            (server.service, server.version), server.id, first_id
+    def begin_answer(
+        self,
+        position: stream_position.StreamPosition,
+        server: backend_server.BackendServer,
+    ) -> None:
+        """Begin with the events of a server's answer."""
+        version = (server.service, server.version)
+        position.begin_answer(
+            lambda first_id: self._starts.find_fault(
+                version, server.id, first_id
+            ),
+            self._steps.may_skip(version),
         )
 
+    def record_steps(
+        self,
+        position: stream_position.StreamPosition,
+        server: backend_server.BackendServer,
+    ) -> None:
+        """Record at the end of an answer how its events were numbered."""
+        if position.has_gap or position.added_count >= _EVENTS_OF_A_PROOF:
+            self._steps.record(
+                (server.service, server.version), server.id, position.has_gap
+            )
+
     async def find_origin(
         self, job: jobs.Job, progress: progresses.Progress
     ) -> jobs.Job:
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -8,9 +8,9 @@
 class StreamPosition:
     """Decides which events continue a stream.
 
-    Ids increase by one.  Events without a numeric id are passed on within
-    one answer, but nothing shows where another answer would have to go on
-    after them.
+    Ids increase by one, unless the servers of the version leave numbers out.
+    Events without a numeric id are passed on within one answer, but nothing
+    shows where another answer would have to go on after them.
 
     Parameters
     ----------
@@ -34,6 +34,10 @@
     added_count : int
         Number of events that the current answer has added, with or without
         an id.
+    has_gap : bool
+        Whether the numbers of the current answer have left some out.
+    refused_first_id : int or None
+        Id with which the current answer cannot begin the stream.
 
     Examples
     --------
@@ -52,6 +56,9 @@
         self.following_id = 0
         self.first_id_of_answer: int | None = None
         self.added_count = 0
+        self.has_gap = False
+        self.refused_first_id: int | None = None
+        self._may_skip = False
         self._must_continue = False
         self._find_fault_of_first: typing.Callable[[int], str] | None = None
 
@@ -72,7 +79,9 @@
             self.has_later_events = True
 
     def begin_answer(
-        self, find_fault_of_first: typing.Callable[[int], str] | None = None
+        self,
+        find_fault_of_first: typing.Callable[[int], str] | None = None,
+        may_skip: bool = False,
     ) -> None:
         """Begin with the events of an answer.
 
@@ -80,20 +89,26 @@
         ----------
         find_fault_of_first : callable, optional
             Returns why a stream cannot begin with an event, by its number.
+        may_skip : bool
+            Whether the servers of the version leave numbers out.
         """
         self._must_continue = self.last_id is not None
         self._find_fault_of_first = find_fault_of_first
+        self._may_skip = may_skip
         self.first_id_of_answer = None
         self.added_count = 0
+        self.has_gap = False
+        self.refused_first_id = None
 
     def find_fault(self, event: event_splitter.Event) -> str:
         """Take the next event; return why it does not fit, or nothing."""
         if event.id is not None:
-            if self.last_id is not None and event.id != self.last_id + 1:
-                self.has_later_events |= event.id > self.last_id
-                return f'event {event.id} came after event {self.last_id}'
+            fault = self._find_fault_of_step(event.id)
+            if fault:
+                return fault
             fault = self._find_fault_of_start(event.id)
             if fault:
+                self.refused_first_id = event.id
                 self.has_later_events = True
                 return fault
             self.last_id = event.id
@@ -111,9 +126,22 @@
             self.added_count += 1
         return ''
 
+    def _find_fault_of_step(self, event_id: int) -> str:
+        if self.last_id is None or event_id == self.last_id + 1:
+            return ''
+        if event_id > self.last_id:
+            # Between answers, the first one may have broken off before more.
+            self.has_gap |= self.first_id_of_answer is not None
+            if self._may_skip:
+                return ''
+            self.has_later_events = True
+        return f'event {event_id} came after event {self.last_id}'
+
     def _find_fault_of_start(self, event_id: int) -> str:
         if self.last_id is not None or self._find_fault_of_first is None:
             return ''
+        if self._may_skip:
+            return ''
         # Servers may count events that have no number.
         if self.added_count >= event_id:
             return ''
