End nodes and servers with the soak or play that started them

Cause: a soak or play that got SIGTERM or SIGKILL ended without its handlers, and its nodes and servers lived on. A shell lets background processes ignore SIGINT; the soak did so too.

Change: each child asks the kernel to kill it when its parent ends (prctl in a preexec function), and ends at once if the parent has ended before that. The soak takes SIGINT as the emulator does. The folders for temporary sources still remain after SIGTERM and SIGKILL; a SIGKILL of make itself does not end the soak that it started.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import dataclasses
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -295,4 +296,6 @@
 
 
 if __name__ == '__main__':
+    # Shells let processes in the background ignore it.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     sys.exit(trio.run(_run, cappa.parse(SoakCommand)))
--- a/soak/node_processes.py
+++ b/soak/node_processes.py
@@ -13,6 +13,7 @@
 import yaml
 
 from soak import production
+from standin import child_end
 from standin import cut_dialer
 
 PORTS = {'front': 8080, 'ready': 8081, 'control': 8082}
@@ -111,6 +112,7 @@
                 },
                 stdout=log,
                 stderr=log,
+                preexec_fn=child_end.with_parent(),
             )
 
     def signal(self, host: str, number: signals.Signals) -> None:
