Play take-ups right after a roll-out, and count them by name and refusal

Cause: the users' pages have no header that names the stream taken up, but half of the emulator's callers sent one, and no outcome said how many take-ups were refused.

Change: UNNAMED sets the share of take-ups without Resumes (default 0.5, as before). The outcome names take-ups with and without it, answered or by kind of refusal, and how many streams became whole over all attempts. `release in_place` starts another version at a server's address.

--- a/Makefile
+++ b/Makefile
@@ -101,13 +101,16 @@
 PLAYS := 1
 # Raises the share of requests that servers answer wrongly.
 X_FACTOR := 1
+# Share of the take-ups that do not name the stream; empty: 0.5.
+UNNAMED :=
 # Not empty: each two troubles together.
 PAIRS :=
 
 EMULATOR = PYTHONPATH=.:platform:tests:platform/tests $(PYTHON) -m emulator \
     --site '$(SITE)' --share $(SHARE) --seed $(SEED) --x-factor $(X_FACTOR) \
     --at-once $(AT_ONCE) $(FRAMING:%=--framing %) \
-    $(PLAY_SECONDS:%=--seconds %) $(SOURCES:%=--sources %)
+    $(PLAY_SECONDS:%=--seconds %) $(SOURCES:%=--sources %) \
+    $(UNNAMED:%=--unnamed %)
 
 play-site play-day: AT_ONCE := 1
 
--- a/tests/cover/test_emulator_counts.py
+++ b/tests/cover/test_emulator_counts.py
@@ -2,6 +2,7 @@
 
 from emulator import sheet_process
 from emulator import stream_counts
+from emulator import take_up_counts
 from soak import answer_reader
 from soak import request_record
 from soak import server_process
@@ -47,3 +48,32 @@
         ('chunked', False): stream_counts.StreamCounts(3, 1, 2, 1),
         ('without a length', True): stream_counts.StreamCounts(1, 1, 0, 0),
     }
+
+
+def test_take_ups_are_counted_by_name_and_kind_of_refusal():
+    """Guards against refusals that count as answers, or under no kind."""
+
+    def record(name, status, first=None, body=b'', is_whole=True, named=True):
+        answer = answer_reader.Answer(
+            status, [], answer_reader.Framing.LENGTH, bytearray(body), is_whole
+        )
+        return request_record.RequestRecord(
+            name, 'resume', 'k1', 0.0, resumed=first, names_first=named,
+            answer=answer if status else None,
+        )  # fmt: skip
+
+    begun = record('a', 200, is_whole=False)
+    problem = b'{"type":"urn:x:problem:stream-origin-unknown"}'
+    records = [
+        begun,
+        record('b', 200, is_whole=False),
+        record('c', 503, begun, problem, named=False),
+        record('d', 503, begun, b'{}', named=False),
+        record('e', None, begun),
+        record('f', 200, begun),
+    ]
+    found = take_up_counts.TakeUpCounts.from_records(records)
+    assert found.named == {'no answer': 1, 'answered': 1}
+    assert found.unnamed == {'stream-origin-unknown': 1, '503': 1}
+    assert (found.begun, found.whole) == (2, 1)
+    assert 'without: 2 (503 1, stream-origin-unknown 1)' in found.describe()
--- a/tests/cover/test_emulator_fleet.py
+++ b/tests/cover/test_emulator_fleet.py
@@ -39,6 +39,10 @@
         self._record('added', server.settings.server_id)
         return server
 
+    async def replace_server(self, server, gap_s):
+        version = self.version_by_service['api']
+        self._record(f'replaced by {version}', server.settings.server_id)
+
     def drain_engine(self, server_id):
         self._record('drained', server_id)
 
@@ -101,6 +105,16 @@
     assert cluster.times('ended') == [time_s + 1 for time_s in times]
 
 
+def test_a_release_in_place_starts_another_version_at_the_address():
+    """Guards against a roll-out of the version that was there."""
+    trouble = sheets.Trouble('release', ('in_place',), 1.0, 2, gap_s=1.0)
+    cluster = _play_fleet(trouble)
+    version = cluster.version_by_service['api']
+    assert version != 'v1'
+    assert cluster.times(f'replaced by {version}') == [0, 0, 1, 1]
+    assert len(cluster.events) == 4
+
+
 def test_all_servers_of_a_service_fail_when_none_is_spared():
     chosen = []
 
--- a/tests/cover/test_take_up_habits.py
+++ b/tests/cover/test_take_up_habits.py
@@ -37,3 +37,13 @@
     assert habits.header_lines(beyond[0]) == [
         f'Last-Event-Id: {beyond[0].event_count}'
     ]
+
+
+def test_the_share_of_unnamed_take_ups_can_be_set():
+    """Guards against plays that say they name none, and do."""
+    for share, names_first in ((0.0, {True}), (1.0, {False})):
+        habits = take_up_habits.TakeUpHabits(random.Random(1), share)
+        records = [_record(number, _record(0), 4) for number in range(1, 50)]
+        for record in records:
+            habits.take_up(record)
+        assert {record.names_first for record in records} == names_first
