--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
@@ -3,6 +3,7 @@
 import typing
 
 from foxtailrelay_node.internal.relay.peers import address_book
+from foxtailrelay_node.internal.relay.policy import rollout_plan
 
 
 class RelaySettings(typing.NamedTuple):
@@ -45,6 +46,8 @@
         CPU capacity; 0.5 is half of a core.
     memory_bytes : float
         Memory beyond which the process is killed.
+    rollout : RolloutBounds or None
+        What an unproved version may get; None if versions are not rolled out.
     """
 
     node_id: str
@@ -71,3 +74,4 @@
     is_first_start: bool
     cores: float
     memory_bytes: float
+    rollout: rollout_plan.RolloutBounds | None = None
--- /dev/null
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of backend server versions on a node."""
