Let nodes report the answers of each version

Cause: evidence on a new version is spread over all nodes.

Change: two columns at the end of the nodes' reports: service, version and route of each row, and its requests, failures and answers by class of time. Columns without rows are left out, and older releases ignore them.

--- a/packages/core/src/foxtailrelay_core/internal/message_types.py
+++ b/packages/core/src/foxtailrelay_core/internal/message_types.py
@@ -343,6 +343,23 @@
     per_s: float
 
 
+class VersionCount(typing.NamedTuple):
+    """Requests of a node to the servers of a version, and their answers.
+
+    Parameters
+    ----------
+    service, version, route : str
+        The service, the version of its servers, and the route.
+    numbers : tuple of int
+        Requests, failures, and answers by the class of their time.
+    """
+
+    service: str
+    version: str
+    route: str
+    numbers: tuple[int, ...]
+
+
 class NodeReport(typing.NamedTuple):
     """Report of a node on its own state.
 
@@ -369,6 +386,8 @@
         Whether the node can connect to no backend server.
     brittleness : tuple of ServerLimit
         Rejections per second beyond which servers fall over.
+    version_counts : tuple of VersionCount
+        Answers of versions of services whose version is being changed.
     """
 
     zone: str
@@ -387,6 +406,7 @@
     limits: tuple[ServerLimit, ...] = ()
     is_cut_off: bool = False
     brittleness: tuple[ServerLimit, ...] = ()
+    version_counts: tuple[VersionCount, ...] = ()
 
 
 class ReportCopy(typing.NamedTuple):
--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -193,6 +193,10 @@
   # For each crash the milliseconds by which it may have been earlier, since the
   # node stood still; empty from older releases.
   crashUnsure @37 :List(UInt32);
+  # Service, version and route of each row; only while versions are changed.
+  versionNames @38 :List(Text);
+  # Requests, failures, and answers by the class of their time, of each row.
+  versionNumbers @39 :List(UInt32);
 }
 
 struct TopicWant {
--- a/packages/core/src/foxtailrelay_core/internal/report_codec.py
+++ b/packages/core/src/foxtailrelay_core/internal/report_codec.py
@@ -41,6 +41,9 @@
     'brittleAges',
     'brittleRates',
 )
+_VERSION_FIELDS = ('versionNames', 'versionNumbers')
+_VERSION_NAME_COLUMNS = 3
+_VERSION_COLUMNS = 16
 _SELDOM_COLUMNS = tuple(
     _FIELD_BY_NAME[name]
     for name in (
@@ -50,6 +53,7 @@
         *_ANSWERED_FIELDS,
         *_LIMIT_FIELDS,
         *_BRITTLE_FIELDS,
+        *_VERSION_FIELDS,
     )
 )
 
@@ -81,6 +85,10 @@
             (x.age_ms,) for x in report.brittleness
         ),
         'brittleRates': [entry.per_s for entry in report.brittleness],
+        'versionNames': _flatten(row[:3] for row in report.version_counts),
+        'versionNumbers': _flatten_uint32(
+            row.numbers for row in report.version_counts
+        ),
     }
     # A column that is left out is read as an empty one, and costs nothing.
     sent = {name: column for name, column in columns.items() if column}
@@ -202,9 +210,22 @@
         'answered_suspects': _to_answered(columns),
         'limits': _to_limits(columns, _LIMIT_FIELDS),
         'brittleness': _to_limits(columns, _BRITTLE_FIELDS),
+        'version_counts': _to_version_counts(columns),
     }
 
 
+def _to_version_counts(
+    columns: _Columns,
+) -> tuple[message_types.VersionCount, ...]:
+    names, numbers = columns.all(_VERSION_FIELDS)
+    rows = zip(*_split(numbers, _VERSION_COLUMNS), strict=True)
+    return _build_all(
+        message_types.VersionCount,
+        *_split(names, _VERSION_NAME_COLUMNS),
+        [tuple(row) for row in rows],
+    )
+
+
 def _to_spends(columns: _Columns) -> tuple[message_types.Spend, ...]:
     slots = iter(columns['spendSlots'])
     names, counts = columns.all(('spendOrganisations', 'spendCounts'))
--- a/packages/core/src/foxtailrelay_core/messages.py
+++ b/packages/core/src/foxtailrelay_core/messages.py
@@ -66,6 +66,7 @@
 TunnelOpen = tunnel_messages.TunnelOpen
 TunnelState = tunnel_messages.TunnelState
 UsageCount = message_types.UsageCount
+VersionCount = message_types.VersionCount
 Welcome = message_types.Welcome
 DecodeError = message_codec.DecodeError
 decode = message_codec.decode
@@ -115,6 +116,7 @@
     'TunnelOpen',
     'TunnelState',
     'UsageCount',
+    'VersionCount',
     'Welcome',
     'DecodeError',
     'NoRoomError',
