Append a keyed record only at an expected end

Cause: a holder of the lease that was suspended could overwrite the state that its successor has recorded.

--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_store.py
@@ -151,3 +151,9 @@
         self, topic: str, key: str, value: bytes
     ) -> Appended | Unavailable:
         """Append the newest record of a key."""
+
+    async def append_keyed_at(
+        self, topic: str, offset: int, key: str, value: bytes
+    ) -> Appended | EndMoved | Unavailable:
+        """Append the newest record of a key if the topic ends there."""
+        raise NotImplementedError
