Move services to ordered versions, by shares and states

Cause: a new version was used like the old one as soon as it was listed, so a bad one got as many requests as its servers could take.

Change: with the bounds of roll-outs in the settings, nodes follow orders and states. An ordered version gets nothing until a state gives it a share; nodes choose by chance, with few servers of the new version. Each node stops a bad version by the counts of all; the holder of the lease records the states, at the end that it has read. Without the bounds no part of this is built.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
@@ -9,8 +9,10 @@
 from foxtailrelay_node.internal.relay.duties import engine_orderer
 from foxtailrelay_node.internal.relay.duties import lease_manager
 from foxtailrelay_node.internal.relay.duties import usage_reporter
+from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import relay_ports
 from foxtailrelay_node.internal.relay import relay_settings
+from foxtailrelay_node.internal.relay.rollouts import rollout_manager
 from foxtailrelay_node.internal.relay import ticks
 
 _STEP_INTERVAL_S = 0.5
@@ -29,6 +31,8 @@
         State of this node, with the counts of all nodes.
     peers : Peering
         Lease and gossip.
+    metrics : RelayMetrics
+        Metrics of this node.
     clock : Clock
         Clock for ages.
     """
@@ -39,6 +43,7 @@
         ports: relay_ports.RelayPorts,
         view: cluster_view.ClusterView,
         peers: peering.Peering,
+        metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
     ) -> None:
         self._duties = settings.duties
@@ -75,13 +80,30 @@
             settings.is_first_start,
         )
 
+        self._rollouts: rollout_manager.RolloutManager | None = None
+        if view.rollouts is not None:
+            self._rollouts = rollout_manager.RolloutManager(
+                view.rollouts,
+                settings.rollout,
+                ports.rollout_format,
+                ports.status_topic,
+                ports.store,
+                self._lease_manager,
+                view.servers.versions,
+                metrics,
+                clock,
+                view.time.now_s,
+            )
+
     async def run(self) -> None:
         """Perform duties while this node holds the lease, until cancelled."""
-        if not self._duties:
+        if not self._duties and self._rollouts is None:
             return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._lease_manager.run)
             nursery.start_soon(self._run_steps)
+            if self._rollouts is not None:
+                nursery.start_soon(self._rollouts.run)
 
     def resign_lease(self) -> None:
         """Resign the lease for good, so that another node takes it."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -12,8 +12,12 @@
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import quota as quotas
+from foxtailrelay_node.internal.relay.policy import rollout_plan
 from foxtailrelay_node.internal.relay import relay_ports
 from foxtailrelay_node.internal.relay import relay_settings
+from foxtailrelay_node.internal.relay.rollouts import paired_listener
+from foxtailrelay_node.internal.relay.rollouts import rollout_board
+from foxtailrelay_node.internal.relay.rollouts import version_counts
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_follower
 
@@ -22,6 +26,10 @@
 # draining server must get no requests.
 _CONFIGURATION_CONFIRMATION_RATIO = 0.8
 _SERVER_CONFIRMATION_RATIO = 0.75
+# The same of the time within which a bad version must get no more requests,
+# and the age beyond which an unproved version gets none.
+_STATE_CONFIRMATION_RATIO = 0.5
+_STATE_AGE_RATIO = 0.7
 
 
 class ClusterView:
@@ -46,6 +54,8 @@
         The list of servers, and the follower that updates it.
     quarantine : CrashQuarantine
         Requests that crash servers.
+    version_counts, rollouts : VersionCountsTable, RolloutBoard or None
+        Changes of services' versions; None if the settings name no bounds.
     loads, quota, budget, usage, demand
         Counters of this node and, except for demand, of its peers.
     """
@@ -71,6 +81,10 @@
             _CONFIGURATION_CONFIRMATION_RATIO * settings.configuration_apply_s,
         )
         self.state.follower = self.configuration_follower
+        self.version_counts: version_counts.VersionCountsTable | None = None
+        self.rollouts: rollout_board.RolloutBoard | None = None
+        if settings.rollout is not None and ports.rollout_format is not None:
+            self._build_rollouts(settings.rollout, ports, health)
         self.servers = server_list.ServerList(
             ports.server_decoder, health, clock
         )
@@ -98,10 +112,39 @@
         self.usage = usage_counter.UsageCounter(settings.usage_window_s)
         self.demand = demand_meter.DemandMeter()
 
+    def _build_rollouts(
+        self,
+        bounds: rollout_plan.RolloutBounds,
+        ports: relay_ports.RelayPorts,
+        health: store_health.StoreHealth,
+    ) -> None:
+        self.version_counts = version_counts.VersionCountsTable()
+        self.rollouts = rollout_board.RolloutBoard(
+            ports.rollout_format,
+            self.version_counts,
+            self._clock,
+            self.time.now_s,
+            _STATE_AGE_RATIO * bounds.rollback_s,
+        )
+        self.rollouts.follower = topic_follower.TopicFollower(
+            ports.status_topic,
+            ports.store,
+            self.rollouts,
+            health,
+            self._clock,
+            _STATE_CONFIRMATION_RATIO * bounds.rollback_s,
+        )
+        self.configuration_follower.listener = paired_listener.PairedListener(
+            self.state, self.rollouts
+        )
+
     @property
     def followers(self) -> tuple[topic_follower.TopicFollower, ...]:
         """The followers that keep the copies current."""
-        return self.configuration_follower, self.server_follower
+        own = (self.configuration_follower, self.server_follower)
+        if self.rollouts is None:
+            return own
+        return *own, self.rollouts.follower
 
     def own_demand(self) -> tuple[dict[str, float], dict[str, int]]:
         """Return the demand of callers at this node by service."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -119,6 +119,7 @@
                 view.quarantine,
                 view.servers.limits,
                 view.servers.brittleness,
+                view.version_counts,
             ),
             clock,
             settings.limit_window_s,
@@ -193,6 +194,7 @@
             metrics,
             clock,
             settings.zone,
+            view.rollouts,
         )
 
     async def run(self) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -7,6 +7,7 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import server_end_checker
+from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import crash_quarantine
 from foxtailrelay_node.internal.relay.backends import load_tracker
 from foxtailrelay_node.internal.relay.backends import server_list
@@ -22,6 +23,7 @@
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import placement_result
 from foxtailrelay_node.internal.relay import relay_metrics
+from foxtailrelay_node.internal.relay.rollouts import rollout_board
 from foxtailrelay_node.internal.relay.tunnels import server_links
 from foxtailrelay_node.internal.relay import wire_format
 
@@ -74,6 +76,8 @@
         Bounds what is held of answers.
     clock : Clock
         Clock for deadlines.
+    rollouts : RolloutBoard or None
+        Versions that may be used while services change theirs.
     """
 
     servers: server_list.ServerList
@@ -95,6 +99,7 @@
     durations: answer_durations.AnswerDurations
     memory: memory_budget.MemoryBudget
     clock: clocks.Clock
+    rollouts: rollout_board.RolloutBoard | None = None
 
     def now_s(self) -> float:
         """Return seconds since boot."""
@@ -120,6 +125,22 @@
                 job.access.organisation.name, self.time.now_s()
             )
 
+    def may_send(self, server: backend_server.BackendServer) -> bool:
+        """Whether a server's version may be used now."""
+        if self.rollouts is None:
+            return True
+        gate = self.rollouts.gate(server.service)
+        return gate is None or gate.may_send(server)
+
+    def record_version_failure(
+        self, job: jobs.Job, server: backend_server.BackendServer
+    ) -> None:
+        """Count a failed answer for the server's version."""
+        if self.rollouts is not None:
+            self.rollouts.counts.record_failure(
+                job.service, server.version, job.access.route.name
+            )
+
     def record_first_part(
         self,
         job: jobs.Job,
@@ -132,6 +153,13 @@
         Times through another node say nothing about the server's speed.
         """
         now_s = self.now_s()
+        if self.rollouts is not None:
+            self.rollouts.counts.record_answer(
+                job.service,
+                placed.view.server.version,
+                job.access.route.name,
+                now_s - sent_at_s,
+            )
         self.metrics.first_byte_seconds.labels(job.access.route.name).observe(
             now_s - job.received_at_s
         )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
@@ -14,6 +14,7 @@
 _LOG = logbook.Logger('foxtailrelay.requests')
 # Of an answer of this length that has no end at its deadline, none is to come.
 _UNENDING_BYTES = 1 << 24
+_SERVER_ERROR_STATUS = 500
 
 
 class AttemptLog:
@@ -60,12 +61,16 @@
             case results.NotRun(reason=reason) | results.Broken(reason=reason):
                 if not (is_link_cut or results.is_blameless(result)):
                     self._context.loads.record_failure(server)
+                    if not is_whole:
+                        self._context.record_version_failure(job, server)
                 fields['reason'] = reason
                 if isinstance(result, results.Broken):
                     fields['fingerprint'] = job.fingerprint
                     fields['parts'] = ','.join(job.shared_part_ids)
             case results.ServerFailure(head=head):
                 fields['status'] = head.status
+                if head.status >= _SERVER_ERROR_STATUS:
+                    self._context.record_version_failure(job, server)
         _LOG.info('attempt-ended', extra=fields)
 
     def record_cancelled(
@@ -84,6 +89,7 @@
         ):
             # The server accepted the request and never ended its answer.
             self._context.loads.record_failure(server)
+            self._context.record_version_failure(job, server)
             if self._context.links.has_heard_since(progress.attempt_sent_at_s):
                 # Otherwise this node's own links may be cut, which must not
                 # count against the server at the dispatcher.
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_runner.py
@@ -142,6 +142,7 @@
             if not (
                 self._context.servers.is_usable(server)
                 and progress.may_use(server)
+                and self._context.may_send(server)
             ):
                 await backend.aclose()
                 return None
@@ -280,6 +281,10 @@
         )
         is_reusable = False
         route_name = job.access.route.name
+        if self._context.rollouts is not None:
+            self._context.rollouts.counts.record_sent(
+                job.service, server.version, route_name
+            )
         number = self._context.durations.begin(route_name)
         try:
             result = await exchange.run(headers)
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/request_placer.py
@@ -19,6 +19,7 @@
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_reservations
 from foxtailrelay_node.internal.relay.dispatch import dispatcher_selector
 from foxtailrelay_node.internal.relay.dispatch import limit_allowances
+from foxtailrelay_node.internal.relay.dispatch import version_choice
 from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import peer_table
@@ -30,6 +31,7 @@
 from foxtailrelay_node.internal.relay.policy import reservation as reservations
 from foxtailrelay_node.internal.relay.policy import server_view
 from foxtailrelay_node.internal.relay import relay_metrics
+from foxtailrelay_node.internal.relay.rollouts import rollout_board
 
 _LOG = logbook.Logger('foxtailrelay.dispatch')
 # Less than half of the latency targets for a first event, and many times the
@@ -72,6 +74,8 @@
         Clock for deadlines.
     zone : str
         This node's data centre.
+    rollouts : RolloutBoard, optional
+        Versions that may be used while services change theirs.
     """
 
     def __init__(
@@ -86,7 +90,9 @@
         metrics: relay_metrics.RelayMetrics,
         clock: clocks.Clock,
         zone: str,
+        rollouts: rollout_board.RolloutBoard | None = None,
     ) -> None:
+        self._rollouts = rollouts
         self._selector = selector
         self._client = client
         self._own_dispatcher = own_dispatcher
@@ -130,6 +136,11 @@
             self._log_result(job, result, 'self')
             return result
         excluded = excluded | self._servers.withheld_ids(job.service)
+        choice = version_choice.VersionChoice.choose(
+            self._rollouts, self._servers, job, excluded, is_retry
+        )
+        if choice is not None:
+            excluded = excluded | choice.excluded_ids
         result, by = None, 'self'
         # Only a dispatcher knows how many requests are at a brittle server.
         bound_per_s = self._servers.rejection_bound_per_s(job.service)
@@ -137,6 +148,9 @@
             result, by = await self._place_by_dispatcher(
                 job, excluded, urgency, is_retry, bound_per_s is not None
             )
+        if choice is not None and not choice.permits(result):
+            result.reservation.record_end(messages.PlaceEvent.LEFT)
+            result = None
         if result is None:
             result = self._place_here(
                 job, service, excluded, urgency, is_retry
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/gossip.py
@@ -86,6 +86,9 @@
             state.limits.build_limits(),
             self.is_cut_off(),
             state.brittleness.build_limits(),
+            state.version_counts.build_counts()
+            if state.version_counts is not None
+            else (),
         )
         self._sequence += 1
         self._built_at_s = now_s
@@ -268,6 +271,10 @@
         )
         state.budget.record_peer_attempt_counts(start_id, peer.report.tries)
         state.usage.merge_peer_usages(start_id, peer.report.usages)
+        if state.version_counts is not None:
+            state.version_counts.merge_peer_counts(
+                start_id, peer.report.version_counts
+            )
 
     def _update_member_counts(self) -> None:
         """Update the node counts by which cluster-wide limits are split."""
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/shared_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/shared_state.py
@@ -11,6 +11,7 @@
 from foxtailrelay_node.internal.relay.duties import usage_counter
 from foxtailrelay_node.internal.relay.policy import cluster_retry_budget
 from foxtailrelay_node.internal.relay.policy import quota as quotas
+from foxtailrelay_node.internal.relay.rollouts import version_counts as counts
 from foxtailrelay_node.internal.relay.state import topic_follower
 
 
@@ -28,3 +29,4 @@
     quarantine: crash_quarantine.CrashQuarantine
     limits: server_limits.ServerLimits
     brittleness: server_limits.ServerLimits
+    version_counts: counts.VersionCountsTable | None = None
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -24,6 +24,12 @@
             ['service', 'outcome'],
             registry=self.registry,
         )
+        self.rollout_states = prometheus_client.Counter(
+            'foxtailrelay_rollout_states',
+            'States of version changes that this node has recorded.',
+            ['service', 'state', 'outcome'],
+            registry=self.registry,
+        )
         self.instance_checks = prometheus_client.Counter(
             'foxtailrelay_instance_checks',
             'Reports that backend servers were asked for, by what they prove.',
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_node.py
@@ -103,7 +103,7 @@
             self._links, self._peers.tunnels, self._view.servers, clock
         )
         self._duties = cluster_duties.ClusterDuties(
-            settings, ports, self._view, self._peers, clock
+            settings, ports, self._view, self._peers, self._metrics, clock
         )
         self._spend_record = spend_record.SpendRecord(
             ports.spend_topic,
@@ -164,6 +164,7 @@
             durations=answer_durations.AnswerDurations(self._clock.boot_s),
             memory=self._memory,
             clock=self._clock,
+            rollouts=view.rollouts,
         )
 
     async def run(self) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_ports.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_ports.py
@@ -6,6 +6,7 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.duties import duty_platform
 from foxtailrelay_node.internal.relay import node_state
+from foxtailrelay_node.internal.relay.rollouts import version_change
 from foxtailrelay_node.internal.relay.state import topic_store
 from foxtailrelay_node.internal.relay import wire_format
 
@@ -35,6 +36,10 @@
         Keyed topic of what organisations spent, written by the nodes.
     duty_topic : str
         Plain topic of leases and usage reports, written by the nodes.
+    rollout_format : RolloutFormat or None
+        Format of ordered version changes and of their states.
+    status_topic : str
+        Keyed topic of these states, written by the holder of the lease.
     """
 
     store: topic_store.TopicStore
@@ -48,3 +53,5 @@
     node_topic: str
     spend_topic: str
     duty_topic: str
+    rollout_format: version_change.RolloutFormat | None = None
+    status_topic: str = ''
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -34,6 +34,8 @@
 from foxtailrelay_node.internal.relay import relay_metrics
 from foxtailrelay_node.internal.relay import request_relay
 from foxtailrelay_node.internal.relay import request_timer
+from foxtailrelay_node.internal.relay.rollouts import rollout_board
+from foxtailrelay_node.internal.relay.rollouts import version_counts
 from foxtailrelay_node.internal.relay.state import store_health
 from foxtailrelay_node.internal.relay.state import topic_follower
 from foxtailrelay_node.internal.relay.state import topic_store
@@ -44,6 +46,7 @@
 from foxtailrelay_platform import configuration_format
 from foxtailrelay_platform import header_format
 from foxtailrelay_platform import report_format
+from foxtailrelay_platform import rollout_format
 from foxtailrelay_platform import server_format
 import trio
 from trio import testing
@@ -199,6 +202,13 @@
         self.servers = server_list.ServerList(
             server_format.ServerFormat(), self.health, self.clock
         )
+        self.rollouts = rollout_board.RolloutBoard(
+            rollout_format.RolloutFormat(),
+            version_counts.VersionCountsTable(),
+            self.clock,
+            self.clock.wall_s,
+            3.5,
+        )
         self.quota = quota.Quota(8.0, -100.0, 0.0)
         self.budget = cluster_retry_budget.ClusterRetryBudget(0.2, 10, 10.0)
         self.usage = usage_counter.UsageCounter(5.0)
@@ -283,6 +293,7 @@
                         metrics,
                         self.clock,
                         'a',
+                        self.rollouts,
                     ),
                     pool=backend_pool.BackendPool(
                         server_dialer.ServerDialer(self.links, self.tunnels),
@@ -304,6 +315,7 @@
                         self.clock.boot_s
                     ),
                     clock=self.clock,
+                    rollouts=self.rollouts,
                 )
             ),
             metrics,
