Order no engines while two versions of them are listed

Suspected: the lease holder counts the engines of both versions as stock and orders the surplus away; the orders are not in the logs kept.

Change: the load is measured on, but nothing is ordered for a service from the order of a version until 6 s after its end.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_duties.py
@@ -78,6 +78,9 @@
             view.all_attempt_counts,
             clock,
             settings.is_first_start,
+            view.rollouts.is_settling
+            if view.rollouts is not None
+            else lambda _: False,
         )
 
         self._rollouts: rollout_manager.RolloutManager | None = None
--- a/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/duties/engine_orderer.py
@@ -70,6 +70,9 @@
         Clock for ages and intervals.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    is_held : callable, optional
+        Whether a service has engines of two versions side by side.  An order
+        would then take the surplus away, which is the version on trial.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         ],
         clock: clocks.Clock,
         is_first_start: bool,
+        is_held: typing.Callable[[str], bool] = lambda _: False,
     ) -> None:
+        self._is_held = is_held
         self._lease = lease
         self._platform = platform
         self._servers = servers
@@ -112,6 +117,8 @@
 
     async def _step_service(self, service: services.Service) -> None:
         load = self._measure_load(service.name)
+        if self._is_held(service.name):
+            return
         stock_by_zone = self._count_stock(service)
         orders = engine_plan.plan_engines(service, stock_by_zone, load)
         for order in orders:
--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_board.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_board.py
@@ -17,6 +17,8 @@
 _State = version_change.RolloutState
 # Time after which replaced servers are no longer listed.
 _REPLACED_S = 60.0
+# Time after the end of a change until the list shows one version only.
+_SETTLING_S = 6.0
 
 
 class _Order(typing.NamedTuple):
@@ -144,6 +146,15 @@
             return True
         return self.follower.view.age_s(self._clock.boot_s()) < self._max_age_s
 
+    def is_settling(self, service: str) -> bool:
+        """Whether servers of two versions may be listed side by side."""
+        known = self._status_by_service.get(service)
+        if service not in self._order_by_service and known is None:
+            return False
+        if self.state(service) is _State.RUNNING:
+            return True
+        return self._clock.boot_s() - known.seen_at_s < _SETTLING_S
+
     def stop(self, change: version_change.VersionChange) -> None:
         """Use a version no more, before a state says so."""
         self._stopped.add(change)
--- a/tests/cover/relay/test_rollouts.py
+++ b/tests/cover/relay/test_rollouts.py
@@ -144,6 +144,17 @@
     assert len(gate.excluded_ids(servers, False)) == 30
 
 
+def test_no_engines_are_ordered_while_two_versions_are_listed():
+    """Guards against orders that took the version on trial away."""
+    node = _nodes(1)[0]
+    assert node.board.is_settling('plain')
+    assert not node.board.is_settling('model')
+    node.board.handle_records([_state(_State.ROLLED_BACK)])
+    assert node.board.is_settling('plain')
+    node.clock.now_s += 7
+    assert not node.board.is_settling('plain')
+
+
 class _Store(topic_store.TopicStore):
     """Keyed states in memory, with the conditions of the platform's store."""
 
