--- a/tests/cover/test_emulator.py
+++ b/tests/cover/test_emulator.py
@@ -115,6 +115,14 @@
     assert [t.x for t in raised] == [1.0, 0.4, None, 3.0]
 
 
+@pytest.mark.parametrize('word', ['rebalance', 'rewind'])
+def test_words_about_groups_of_the_store_are_named(word):
+    """Guards against plays that claim to deal partitions anew."""
+    trouble = sheets.Trouble('platform_compact', (word,))
+    selection = troubles.select([trouble], 'all', False)
+    assert selection.unknown_words == {trouble.title: (word,)}
+
+
 def _record(status, path='once'):
     answer = answer_reader.Answer(status, [], answer_reader.Framing.LENGTH)
     return request_record.RequestRecord('r', path, 'k1', 0.0, answer=answer)
--- a/tests/cover/test_emulator_fleet.py
+++ b/tests/cover/test_emulator_fleet.py
@@ -7,6 +7,7 @@
 from emulator import server_troubles
 from emulator import sheet as sheets
 from emulator import trouble_player
+from emulator import troubles
 import pytest
 import trio
 from trio import testing
@@ -54,10 +55,10 @@
         return [round(t - begin_s, 3) for w, _, t in self.events if w == what]
 
 
-def _play(troubles, trouble, server_count=4):
+def _play(kind, trouble, server_count=4):
     cluster = _Cluster(server_count)
     stage = trouble_player.Stage(cluster, None, random.Random(1), [], 0.0)
-    acts = troubles(stage).act_by_kind()
+    acts = kind(stage).act_by_kind()
     trio.run(
         acts[trouble.kind],
         trouble,
@@ -111,3 +112,22 @@
     trouble = sheets.Trouble('srv_grey', ('errors', 'all'), 0.2, 0.6)
     cluster = _play(_Servers, trouble)
     assert chosen == cluster.servers
+
+
+@pytest.mark.parametrize(('x', 'factor'), [(None, 8.0), (3.0, 3.0)])
+def test_a_grey_server_is_slow_for_a_while(x, factor):
+    """Guards against slow servers of a play that stay slow."""
+    changes = []
+    cluster = _Cluster(1)
+    cluster.servers[0].set_slowness = lambda value: changes.append(
+        (value, trio.current_time())
+    )
+    stage = trouble_player.Stage(cluster, None, random.Random(1), [], 0.0)
+    act = server_troubles.ServerTroubles(stage).act_by_kind()['srv_grey']
+    trouble = sheets.Trouble('srv_grey', ('slow',), 1.0, x, 5.0)
+    trio.run(act, trouble, clock=testing.MockClock(autojump_threshold=0))
+    (slow, since_s), (usual, until_s) = changes
+    assert (slow, usual) == (factor, 1.0)
+    assert until_s - since_s == pytest.approx(5.0)
+    (raised,) = troubles.raise_shares([trouble], 4.0)
+    assert raised.x == x
