Count the pauses of streams as evidence on a version

Change: the longest pause of a stream is counted when its attempt ends, apart from the times to first parts. Answers are slow from the next class on.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_context.py
@@ -132,6 +132,24 @@
         gate = self.rollouts.gate(server.service)
         return gate is None or gate.may_send(server)
 
+    def record_version_pauses(
+        self,
+        job: jobs.Job,
+        server: backend_server.BackendServer,
+        max_gap_s: float | None,
+    ) -> None:
+        """Count the longest pause of a stream for the server's version.
+
+        A stream may be slow only after its first event.
+        """
+        if self.rollouts is not None and max_gap_s is not None:
+            self.rollouts.counts.record_answer(
+                job.service,
+                server.version,
+                f'{job.access.route.name} pauses',
+                max_gap_s,
+            )
+
     def record_version_failure(
         self, job: jobs.Job, server: backend_server.BackendServer
     ) -> None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/attempt_log.py
@@ -55,6 +55,7 @@
             fields['left_s'] = round(left_s, 3)
         if is_link_cut:
             fields['link_cut'] = True
+        self._context.record_version_pauses(job, server, progress.max_gap_s)
         match result:
             case results.Done() | results.Unconfirmed():
                 self._context.loads.record_success(server)
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/version_evidence.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/version_evidence.py
@@ -6,10 +6,10 @@
 
 # Answers are counted by the power of two of their time in milliseconds.
 TIME_CLASSES = 14
-# An answer is slow from two classes beyond that of most of the old version's
-# answers on: at least twice, usually three times as long.
+# An answer is slow beyond the class of most of the old version's answers;
+# how many of the old version's own are slow by that is known too.
 _MOST = 0.9
-_SLOW_CLASSES = 2
+_SLOW_CLASSES = 1
 # Of a version whose answers fail or are slow by half, this many suffice.
 _MIN_BAD = 4
 _BAD_SHARE = 0.15
--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_manager.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_manager.py
@@ -121,7 +121,12 @@
         history.append(total)
         none = version_evidence.RouteEvidence()
         self._board.set_sent(
-            service, {r: e.target.sent + e.old.sent for r, e in total.items()}
+            service,
+            {
+                route: counts.target.sent + counts.old.sent
+                for route, counts in total.items()
+                if counts.target.sent + counts.old.sent
+            },
         )
         if self._board.is_stopped(change):
             return rollout_plan.Plan(_State.ROLLED_BACK, 0.0, 'found bad')
--- a/tests/cover/relay/test_rollouts.py
+++ b/tests/cover/relay/test_rollouts.py
@@ -295,6 +295,18 @@
     assert len(former.store.records) == 2
 
 
+def test_version_whose_streams_pause_long_is_bad_though_they_begin_in_time():
+    """Guards against the slow version that a trial play took for good."""
+    node = _nodes(1)[0]
+    node.answer(0, 40, 'v1')
+    node.answer(0, 20)
+    for version, pause_s, count in (('v1', 0.1, 40), ('v2', 0.47, 10)):
+        for _ in range(count):
+            node.counts.record_answer('plain', version, 'any pauses', pause_s)
+    node.step()
+    assert node.board.state('plain') is _State.ROLLED_BACK
+
+
 def test_node_that_starts_later_keeps_the_recorded_deadline():
     """Else a restart would give an unproved version more time."""
     holder, _ = _nodes()
