Take gaps for a way to count only where nearly no answer counts by one

Change: the first step of each answer is evidence, whatever its length; nearly all must be more than one, at three servers, and no step may be larger than what three servers have shown, also at the start and where a stream goes on. A refused first event delays the next server by 0.1 s, and only until an answer has counted by one.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/answer_forwarder.py
@@ -13,7 +13,6 @@
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
 from foxtailrelay_node.internal.relay.attempts import results
-from foxtailrelay_node.internal.relay.attempts import step_reader
 from foxtailrelay_node.internal.relay.attempts import stream_versions
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
@@ -135,7 +134,8 @@
                 'the answer has another status or type than the stream'
             )
         position = self._progress.position
-        self._streams.begin_answer(position, self._placed.view.server)
+        server = self._placed.view.server
+        self._streams.begin_answer(position, server)
         splitter = event_splitter.EventSplitter()
         lease = self._open_lease()
         self._received_at_s = self._context.now_s()
@@ -147,15 +147,15 @@
                     return self._record_without_room(splitter.buffered_bytes)
                 if events:
                     if fault := await self._forward(head, events):
-                        await step_reader.read_step(
-                            position, events, splitter, self._backend
+                        await self._streams.read_step(
+                            position, server, events, splitter, self._backend
                         )
                         return results.Broken(fault)
                     self._record_partial_event(splitter)
         except event_splitter.MalformedEvent as error:
             return results.Broken(str(error))
         finally:
-            self._streams.record_steps(position, self._placed.view.server)
+            self._streams.record_step(position, server)
             self._streams.record_break(self._progress)
         return await self._finish_events(head, splitter)
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/step_reader.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/step_reader.py
@@ -7,7 +7,7 @@
 from foxtailrelay_node.internal.relay.policy import stream_position
 
 # The caller waits meanwhile for another server.
-_MAX_WAIT_S = 0.5
+_MAX_WAIT_S = 0.1
 
 
 async def read_step(
@@ -16,7 +16,7 @@
     splitter: event_splitter.EventSplitter,
     backend: backend_connection.BackendConnection,
 ) -> None:
-    """Find whether the number after a refused first one leaves some out.
+    """Find the step from a refused first number to the next one.
 
     Parameters
     ----------
@@ -42,9 +42,12 @@
         while True:
             for event in events:
                 if event.id is not None and event.id > first_id:
-                    position.has_gap = event.id > first_id + 1
+                    position.first_step = event.id - first_id
                     return
-            part = await backend.receive_part()
+            try:
+                part = await backend.receive_part()
+            except backend_connection.BackendConnectionError:
+                return
             if part is None:
                 return
             events = splitter.feed(part)
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -7,8 +7,11 @@
 from foxtailrelay_node.internal.relay.attempts import attempt_context
 from foxtailrelay_node.internal.relay.attempts import job as jobs
 from foxtailrelay_node.internal.relay.attempts import progress as progresses
+from foxtailrelay_node.internal.relay.attempts import step_reader
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay import caller_request
+from foxtailrelay_node.internal.relay.http import backend_connection
+from foxtailrelay_node.internal.relay.http import event_splitter
 from foxtailrelay_node.internal.relay.policy import event_steps
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_start
@@ -22,8 +25,6 @@
 _MAX_KEEP_S = 600.0
 # The list of another node may be current.
 _OTHER_NODE_RETRY_AFTER_S = 0.3
-# Fewer may have no gap by chance.
-_EVENTS_OF_A_PROOF = 8
 # A server that replaces failed ones takes seconds to boot.
 _NO_SERVER_RETRY_AFTER_S = 1.0
 
@@ -53,18 +54,35 @@
             lambda first_id: self._starts.find_fault(
                 version, server.id, first_id
             ),
-            self._steps.may_skip(version),
+            self._steps.largest_step(version),
         )
 
-    def record_steps(
+    async def read_step(
+        self,
+        position: stream_position.StreamPosition,
+        server: backend_server.BackendServer,
+        events: list[event_splitter.Event],
+        splitter: event_splitter.EventSplitter,
+        backend: backend_connection.BackendConnection,
+    ) -> None:
+        """Read how a server counts, unless its version has shown it.
+
+        Does nothing if the first event of the answer was not refused.
+        """
+        if self._steps.is_open((server.service, server.version)):
+            await step_reader.read_step(position, events, splitter, backend)
+
+    def record_step(
         self,
         position: stream_position.StreamPosition,
         server: backend_server.BackendServer,
     ) -> None:
         """Record at the end of an answer how its events were numbered."""
-        if position.has_gap or position.added_count >= _EVENTS_OF_A_PROOF:
+        if position.first_step is not None:
             self._steps.record(
-                (server.service, server.version), server.id, position.has_gap
+                (server.service, server.version),
+                server.id,
+                position.first_step,
             )
 
     async def find_origin(
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -34,8 +34,8 @@
     added_count : int
         Number of events that the current answer has added, with or without
         an id.
-    has_gap : bool
-        Whether the numbers of the current answer have left some out.
+    first_step : int or None
+        Step from the first number of the current answer to the next one.
     refused_first_id : int or None
         Id with which the current answer cannot begin the stream.
 
@@ -56,9 +56,9 @@
         self.following_id = 0
         self.first_id_of_answer: int | None = None
         self.added_count = 0
-        self.has_gap = False
+        self.first_step: int | None = None
         self.refused_first_id: int | None = None
-        self._may_skip = False
+        self._largest_step = 1
         self._must_continue = False
         self._find_fault_of_first: typing.Callable[[int], str] | None = None
 
@@ -81,7 +81,7 @@
     def begin_answer(
         self,
         find_fault_of_first: typing.Callable[[int], str] | None = None,
-        may_skip: bool = False,
+        largest_step: int = 1,
     ) -> None:
         """Begin with the events of an answer.
 
@@ -89,15 +89,15 @@
         ----------
         find_fault_of_first : callable, optional
             Returns why a stream cannot begin with an event, by its number.
-        may_skip : bool
-            Whether the servers of the version leave numbers out.
+        largest_step : int
+            By how much the number of the next event may be higher.
         """
         self._must_continue = self.last_id is not None
         self._find_fault_of_first = find_fault_of_first
-        self._may_skip = may_skip
+        self._largest_step = largest_step
         self.first_id_of_answer = None
         self.added_count = 0
-        self.has_gap = False
+        self.first_step = None
         self.refused_first_id = None
 
     def find_fault(self, event: event_splitter.Event) -> str:
@@ -105,11 +105,9 @@
         if event.id is not None:
             fault = self._find_fault_of_step(event.id)
             if fault:
-                return fault
-            fault = self._find_fault_of_start(event.id)
-            if fault:
-                self.refused_first_id = event.id
-                self.has_later_events = True
+                self.has_later_events |= (
+                    self.last_id is None or event.id > self.last_id
+                )
                 return fault
             self.last_id = event.id
             if self.first_id_of_answer is None:
@@ -127,20 +125,21 @@
         return ''
 
     def _find_fault_of_step(self, event_id: int) -> str:
-        if self.last_id is None or event_id == self.last_id + 1:
+        if self.last_id is None:
+            fault = self._find_fault_of_start(event_id)
+            self.refused_first_id = event_id if fault else None
+            return fault
+        step = event_id - self.last_id
+        if self.first_step is None and self.first_id_of_answer is not None:
+            self.first_step = step
+        if 1 <= step <= self._largest_step:
             return ''
-        if event_id > self.last_id:
-            # Between answers, the first one may have broken off before more.
-            self.has_gap |= self.first_id_of_answer is not None
-            if self._may_skip:
-                return ''
-            self.has_later_events = True
         return f'event {event_id} came after event {self.last_id}'
 
     def _find_fault_of_start(self, event_id: int) -> str:
-        if self.last_id is not None or self._find_fault_of_first is None:
+        if self._find_fault_of_first is None:
             return ''
-        if self._may_skip:
+        if 1 < event_id <= self._largest_step:
             return ''
         # Servers may count events that have no number.
         if self.added_count >= event_id:
--- a/tests/cover/relay/test_event_steps.py
+++ b/tests/cover/relay/test_event_steps.py
@@ -70,24 +70,83 @@
     assert answers[-1].endswith(relay_rig.LAST_CHUNK)
 
 
-def test_gaps_of_few_servers_or_answers_are_missing_events():
+def _scripted_backend(scripts):
+    """Return a server that sends the numbers of the next script."""
+
+    async def serve(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while request := await relay_rig.read_request(stream):
+                if b'request-id' not in request.lower():
+                    await stream.aclose()
+                    return
+                request_id = re.search(rb'(?i)request-id: (\S+)', request)[1]
+                await stream.send_all(
+                    relay_rig.stream_head(request_id.decode())
+                )
+                for number in scripts.pop(0):
+                    event = relay_rig.encode_event(number)
+                    await stream.send_all(relay_rig.encode_chunk(event))
+                await stream.send_all(relay_rig.LAST_CHUNK)
+
+    return serve
+
+
+def _add_scripted(rig, scripts):
+    backend = _scripted_backend(scripts)
+    for index in (1, 2, 3):
+        rig.add_server('model', index, backend)
+
+
+@relay_rig.with_rig
+async def test_short_streams_of_faulty_servers_never_lack_an_event(rig):
+    """Guards against faults of three servers that pass for a way to count."""
+    _add_scripted(rig, [[1, 2, 3]] * 30 + [[1, 3]] * 60)
+    for number in range(30):
+        assert _ids(await _receive(rig, number)) == [1, 2, 3]
+    for number in range(30, 60):
+        answer = await _receive(rig, number)
+        assert not answer.endswith(relay_rig.LAST_CHUNK)
+
+
+@relay_rig.with_rig
+async def test_streams_that_count_tokens_do_not_lack_their_first_events(rig):
+    taught = [[5, 10, 15, 20, 25]] * 5
+    _add_scripted(rig, [*taught, [25, 30], [25, 30]])
+    for number in range(3):
+        await _receive(rig, number)
+    answer = await _receive(rig, 4)
+    assert not answer.endswith(relay_rig.LAST_CHUNK)
+
+
+def test_steps_of_few_servers_or_answers_are_missing_events():
     """Guards against believing servers that skip events now and then."""
     steps = event_steps.EventSteps()
     for _ in range(20):
-        steps.record(_VERSION, 'i-1', has_gap=True)
-        steps.record(_VERSION, 'i-2', has_gap=True)
-    assert not steps.may_skip(_VERSION)
-    steps.record(_VERSION, 'i-3', has_gap=True)
-    assert steps.may_skip(_VERSION)
-    for _ in range(50):
-        steps.record(_VERSION, 'i-1', has_gap=False)
-    assert not steps.may_skip(_VERSION)
+        steps.record(_VERSION, 'i-1', 5)
+        steps.record(_VERSION, 'i-2', 9)
+    assert steps.largest_step(_VERSION) == 1
+    steps.record(_VERSION, 'i-3', 4)
+    assert steps.largest_step(_VERSION) == 4
+    steps.record(_VERSION, 'i-1', 1)
+    assert steps.largest_step(_VERSION) == 4
+    steps.record(_VERSION, 'i-1', 1)
+    steps.record(_VERSION, 'i-1', 1)
+    assert steps.largest_step(_VERSION) == 1
+
+
+def test_gaps_after_a_start_do_not_outweigh_one_answer_by_one():
+    steps = event_steps.EventSteps()
+    steps.record(_VERSION, 'i-4', 1)
+    for server_id in ('i-1', 'i-2', 'i-3'):
+        steps.record(_VERSION, server_id, 2)
+    assert steps.largest_step(_VERSION) == 1
+    assert not steps.is_open(_VERSION)
 
 
 def test_memory_of_steps_is_bounded():
     steps = event_steps.EventSteps()
     for number in range(3000):
-        steps.record((f's{number}', ''), 'i-1', has_gap=True)
-        steps.record(_VERSION, f'i-{number}', has_gap=True)
-    assert steps.may_skip(_VERSION)
-    assert not steps.may_skip(('s1', ''))
+        steps.record((f's{number}', ''), 'i-1', 5)
+        steps.record(_VERSION, f'i-{number}', 5)
+    assert steps.largest_step(_VERSION) == 5
+    assert steps.is_open(('s1', ''))
