End no stream before an event that an earlier answer has shown

Callers saw: a stream that is complete without its last events, where a first server had sent a number that did not fit (1 to 5, then 7) or began too late (3, 4), and the next one ended too soon ([6], or [1]). Cause: the node knew that events follow only until the next good event; the number itself was forgotten. Class: a mark of the end stands for the end. Change: each number that was seen is kept for the request as one that is known to follow.

--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_position.py
@@ -105,9 +105,8 @@
         if event.id is not None:
             fault = self._find_fault_of_step(event.id)
             if fault:
-                self.has_later_events |= (
-                    self.last_id is None or event.id > self.last_id
-                )
+                self.has_later_events |= self.last_id is None
+                self.record_later_event(event.id)
                 return fault
             self.last_id = event.id
             if self.first_id_of_answer is None:
--- a/tests/cover/relay/test_event_steps.py
+++ b/tests/cover/relay/test_event_steps.py
@@ -4,6 +4,7 @@
 import re
 
 from foxtailrelay_node.internal.relay.policy import event_steps
+import pytest
 import trio
 
 from common import relay_rig
@@ -118,6 +119,23 @@
     assert not answer.endswith(relay_rig.LAST_CHUNK)
 
 
+@pytest.mark.parametrize(
+    'scripts',
+    [[[1, 2, 3, 4, 5, 7, 8], [6]], [[3, 4], [1]]],
+    ids=['skipped', 'refused first'],
+)
+def test_stream_does_not_end_before_an_event_that_was_seen(scripts):
+    """Guards against a short answer that follows one with later events."""
+
+    @relay_rig.with_rig
+    async def play(rig):
+        _add_scripted(rig, [*scripts, [9], [9]])
+        answer = await _receive(rig, 1)
+        assert not answer.endswith(relay_rig.LAST_CHUNK)
+
+    play()
+
+
 def test_steps_of_few_servers_or_answers_are_missing_events():
     """Guards against believing servers that skip events now and then."""
     steps = event_steps.EventSteps()
