Use no version that was rolled back while the next one is ordered

Change: nodes keep the targets that states said were rolled back. A node that starts after the next order does not know them. Result: test_version_that_was_rolled_back_gets_nothing_after_the_next_order failed before.

--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_board.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/rollout_board.py
@@ -76,6 +76,8 @@
         # Changes that this node has found to be bad before a state says so.
         self._stopped: set[version_change.VersionChange] = set()
         self._sent_by_service: dict[str, dict[str, int]] = {}
+        # Targets that were rolled back; their servers drain seconds later.
+        self._withdrawn_by_service: dict[str, set[str]] = {}
         self._rejections = rejection_log.RejectionLog(clock)
 
     def handle_records(
@@ -174,6 +176,13 @@
 
     def gate(self, service: str) -> version_gate.VersionGate | None:
         """Return what may be used; None if all versions may."""
+        gate = self._gate_of_newest(service)
+        withdrawn = self._withdrawn_by_service.get(service)
+        if gate is None or not withdrawn:
+            return gate
+        return gate._replace(withdrawn=frozenset(withdrawn - {gate.target}))
+
+    def _gate_of_newest(self, service: str) -> version_gate.VersionGate | None:
         order = self._order_by_service.get(service)
         known = self._status_by_service.get(service)
         if order is None and known is None:
@@ -234,6 +243,10 @@
         self._status_by_service[status.service] = _Status(
             status, self._clock.boot_s()
         )
+        if status.state is _State.ROLLED_BACK:
+            self._withdrawn_by_service.setdefault(status.service, set()).add(
+                status.target
+            )
         self._update_counting(status.service)
         _LOG.info(
             'rollout-state',
--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/version_gate.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/version_gate.py
@@ -25,18 +25,21 @@
         Versions that must not be used, since the target has replaced them.
     is_needed_alone : bool
         Whether the target serves if no other version is listed.
+    withdrawn : frozenset of str
+        Versions of earlier orders that were rolled back.
     """
 
     target: str
     share: float
     old_versions: frozenset[str] = frozenset()
     is_needed_alone: bool = False
+    withdrawn: frozenset[str] = frozenset()
 
     def may_send(self, server: backend_server.BackendServer) -> bool:
         """Whether any request may be sent to a server."""
         if server.version == self.target:
             return self.share > 0 or self.is_needed_alone
-        return True
+        return server.version not in self.withdrawn
 
     def excluded_ids(
         self,
@@ -55,6 +58,18 @@
         taken_ids : collection of str
             Servers that it cannot use for other reasons.
         """
+        withdrawn = frozenset(
+            s.id for s in servers if s.version in self.withdrawn
+        )
+        servers = [s for s in servers if s.id not in withdrawn]
+        return withdrawn | self._excluded_ids(servers, is_target, taken_ids)
+
+    def _excluded_ids(
+        self,
+        servers: _Servers,
+        is_target: bool,
+        taken_ids: typing.Collection[str],
+    ) -> frozenset[str]:
         target = sorted(s.id for s in servers if s.version == self.target)
         others = [s for s in servers if s.version != self.target]
         if not target:
--- a/tests/cover/relay/test_rollouts.py
+++ b/tests/cover/relay/test_rollouts.py
@@ -326,6 +326,17 @@
     assert [change.target for change in node.board.changes()] == ['v3']
 
 
+def test_version_that_was_rolled_back_gets_nothing_after_the_next_order():
+    """Its servers drain seconds later."""
+    board = _nodes(1)[0].board
+    board.handle_records([_state(_State.ROLLED_BACK)])
+    board.handle_orders([_order('v3', 6)])
+    gate = board.gate('plain')
+    servers = [_server(number, f'v{number}') for number in (1, 2, 3)]
+    assert not gate.may_send(servers[1])
+    assert gate.excluded_ids(servers, False) == {'s02', 's03'}
+
+
 def test_counts_pass_through_reports_and_outlast_their_node():
     """Else the evidence of a node that has failed is lost."""
     sender, receiver = _nodes()
