--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/version_gate.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/version_gate.py
@@ -74,7 +74,8 @@
         others = [s for s in servers if s.version != self.target]
         if not target:
             return frozenset()
-        if self.share >= 1:
+        # Before the change is done, old streams go on at old servers.
+        if self.share >= 1 and (is_target or self.old_versions):
             return frozenset(
                 server.id
                 for server in others
--- a/tests/cover/relay/test_rollouts.py
+++ b/tests/cover/relay/test_rollouts.py
@@ -337,6 +337,13 @@
     assert gate.excluded_ids(servers, False) == {'s02', 's03'}
 
 
+def test_streams_of_the_old_version_go_on_until_a_change_is_done():
+    gate = version_gate.VersionGate('v2', 1.0)
+    servers = [_server(number, f'v{number}') for number in (1, 2)]
+    assert gate.excluded_ids(servers, False, {'s02'}) == {'s02'}
+    assert gate.excluded_ids(servers, True) == {'s01'}
+
+
 def test_counts_pass_through_reports_and_outlast_their_node():
     """Else the evidence of a node that has failed is lost."""
     sender, receiver = _nodes()
