--- a/tests/cover/relay/test_event_steps.py
+++ b/tests/cover/relay/test_event_steps.py
@@ -4,7 +4,6 @@
 import re
 
 from foxtailrelay_node.internal.relay.policy import event_steps
-import pytest
 import trio
 
 from common import relay_rig
@@ -119,21 +118,22 @@
     assert not answer.endswith(relay_rig.LAST_CHUNK)
 
 
-@pytest.mark.parametrize(
-    'scripts',
-    [[[1, 2, 3, 4, 5, 7, 8], [6]], [[3, 4], [1]]],
-    ids=['skipped', 'refused first'],
-)
-def test_stream_does_not_end_before_an_event_that_was_seen(scripts):
+async def _play_after(rig, *scripts):
+    _add_scripted(rig, [*scripts, [9], [9]])
+    answer = await _receive(rig, 1)
+    assert not answer.endswith(relay_rig.LAST_CHUNK)
+
+
+@relay_rig.with_rig
+async def test_stream_that_breaks_at_a_gap_does_not_end_before_it(rig):
     """Guards against a short answer that follows one with later events."""
+    await _play_after(rig, [1, 2, 3, 4, 5, 7, 8], [6])
 
-    @relay_rig.with_rig
-    async def play(rig):
-        _add_scripted(rig, [*scripts, [9], [9]])
-        answer = await _receive(rig, 1)
-        assert not answer.endswith(relay_rig.LAST_CHUNK)
 
-    play()
+@relay_rig.with_rig
+async def test_stream_does_not_end_before_a_first_event_that_was_refused(rig):
+    """Guards against a short answer that follows one that began late."""
+    await _play_after(rig, [3, 4], [1])
 
 
 def test_steps_of_few_servers_or_answers_are_missing_events():
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -21,6 +21,7 @@
 from foxtailrelay_node.internal.relay.peers import stream_origins
 from foxtailrelay_node.internal.relay.policy import answer_end
 from foxtailrelay_node.internal.relay.policy import deadline_end
+from foxtailrelay_node.internal.relay.policy import event_steps
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_start
 from foxtailrelay_node.internal.relay import request_relay
@@ -32,6 +33,7 @@
 from cover.relay import test_closing_answers as closings
 from cover.relay import test_doubted_ends as ends
 from cover.relay import test_ending_processes as ending
+from cover.relay import test_event_steps as steps
 from cover.relay import test_missing_reports as missing
 from cover.relay import test_replaced_instances as replaced
 from cover.relay import test_shared_signs as signs
@@ -234,6 +236,22 @@
         (stream_start, '_SERVERS_OF_A_PROOF', 1),
         starts.test_one_server_does_not_show_how_its_version_counts,
     ),
+    'gaps of few answers show how a version counts': (
+        (event_steps, '_MIN_RATIO', 0),
+        steps.test_gaps_after_a_start_do_not_outweigh_one_answer_by_one,
+    ),
+    'two servers show how a version counts': (
+        (event_steps, '_SERVERS_OF_A_PROOF', 2),
+        steps.test_steps_of_few_servers_or_answers_are_missing_events,
+    ),
+    'numbers of events that do not fit are forgotten': (
+        (
+            stream_position.StreamPosition,
+            'record_later_event',
+            _always(None),
+        ),
+        steps.test_stream_that_breaks_at_a_gap_does_not_end_before_it,
+    ),
     'connections are closed with bytes on their way': (
         (output_flush, 'flush', _do_nothing),
         closings.test_request_behind_a_last_answer_does_not_cut_that_answer,
