Log what each take-up of a stream is decided on

Each take-up now leaves take-up-searched: how the version is known, what the list shows and how old it and the configuration are, what peers name, and which peers have answered, were silent, or were not asked at all. The metric foxtailrelay_take_ups_total counts them by how the version was known.

The search returns StreamSearch in place of the message StreamFound; tests that compared the whole message compare its two fields.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay import caller_request
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import event_splitter
+from foxtailrelay_node.internal.relay.peers import stream_search
 from foxtailrelay_node.internal.relay.policy import event_steps
 from foxtailrelay_node.internal.relay.policy import stream_position
 from foxtailrelay_node.internal.relay.policy import stream_start
@@ -106,11 +107,12 @@
                     int(window_s * 1000),
                 )
             )
-            if found.origins:
-                progress.origin = found.origins[0]
+            if found.origin is not None:
+                progress.origin = found.origin
                 progress.position.record_later_event(
                     progress.origin.following_id
                 )
+                self._log_search(job, service, found, found.origin.version)
                 return job._replace(service=service)
         # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
@@ -125,8 +127,45 @@
             and listed == {found.sole_version}
         ):
             progress.sole_version = found.sole_version
+        self._log_search(job, service, found, progress.sole_version)
         return job
 
+    def _log_search(
+        self,
+        job: jobs.Job,
+        service: str,
+        found: stream_search.StreamSearch,
+        version: str,
+    ) -> None:
+        """Log what a take-up was decided on, also if it goes on."""
+        if found.origin is not None:
+            known_by = 'origin'
+        else:
+            known_by = 'sole-version' if version else 'nothing'
+        self._context.metrics.take_ups.labels(known_by).inc()
+        servers = self._context.servers
+        _LOG.info(
+            'take-up-searched',
+            extra={
+                'request': job.request.request_id,
+                'resumes': job.request.resumes,
+                'after': job.request.last_event_id,
+                'service': service,
+                'known_by': known_by,
+                'version': version,
+                'is_certain': found.origin is None or found.origin.is_certain,
+                'listed': sorted(servers.versions(service)),
+                'list_age_s': round(servers.age_s(), 3),
+                'configuration_age_s': round(self._context.state.age_s(), 3),
+                'own_sole': found.own_sole_version,
+                'peer_soles': found.peer_sole_versions,
+                'equal': found.equal_versions,
+                'answered': found.answered_ids,
+                'silent': found.silent_ids,
+                'absent': found.absent_ids,
+            },
+        )
+
     def record_event(
         self,
         job: jobs.Job,
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -241,9 +241,13 @@
 
     def is_current(self) -> bool:
         """Whether an instance that has started again would be listed."""
+        return self.age_s() <= _MAX_AGE_S
+
+    def age_s(self) -> float:
+        """Return the seconds since the list was confirmed to be current."""
         if self.follower is None:
-            return True
-        return self.follower.view.age_s(self._clock.boot_s()) <= _MAX_AGE_S
+            return 0.0
+        return self.follower.view.age_s(self._clock.boot_s())
 
     def sole_version(self, service: str, window_s: float) -> str:
         """Return the only version that was listed for some time.
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import gossip_params
 from foxtailrelay_node.internal.relay.peers import peer_table
+from foxtailrelay_node.internal.relay.peers import stream_search
 from foxtailrelay_node.internal.relay.policy import rendezvous_hash
 
 # Two holders may fail at the same time.
@@ -28,6 +29,34 @@
     until_s: float
 
 
+class _Asked:
+    """Answers of peers, and which of them have not answered."""
+
+    def __init__(self) -> None:
+        self.answers: list[messages.StreamFound] = []
+        self.answered_ids: list[str] = []
+        self.silent_ids: list[str] = []
+
+    def summarise(
+        self, own: messages.StreamFound, absent_ids: typing.Iterable[str]
+    ) -> stream_search.StreamSearch:
+        """Return what this node and its peers know, without a conclusion."""
+        peer_versions = {answer.sole_version for answer in self.answers}
+        equal_versions = {
+            origin.version
+            for answer in (own, *self.answers)
+            for origin in answer.origins
+        }
+        return stream_search.StreamSearch(
+            own_sole_version=own.sole_version,
+            peer_sole_versions=tuple(sorted(peer_versions - {''})),
+            equal_versions=tuple(sorted(equal_versions)),
+            answered_ids=tuple(sorted(self.answered_ids)),
+            silent_ids=tuple(sorted(self.silent_ids)),
+            absent_ids=tuple(sorted(absent_ids)),
+        )
+
+
 class StreamOrigins:
     """Origins of streams that this node relays or holds for others.
 
@@ -129,59 +158,71 @@
             self._servers.sole_version(query.service, query.window_ms / 1000),
         )
 
-    async def find(self, query: messages.StreamQuery) -> messages.StreamFound:
+    async def find(
+        self, query: messages.StreamQuery
+    ) -> stream_search.StreamSearch:
         """Return what this node or another one has recorded of a stream.
 
         The lists may not show yet that a version serves.  A sole version is
         therefore none if an equal request was answered by another one.
         """
-        sole_version = ''
+        own = self.handle_query(query)
+        asked = _Asked()
         if query.request_id:
-            own = self.handle_query(query)
-            answers = [own]
             if not own.origins:
-                answers += await self._query_peers(query)
-            for answer in answers:
+                asked = await self._query_peers(query)
+            for answer in (own, *asked.answers):
                 if answer.origins:
-                    return own._replace(origins=answer.origins[:1])
-            sole_version = _find_sole(answers)
-            if not sole_version:
-                return messages.StreamFound((), '')
+                    return self._summarise(own, asked)._replace(
+                        origin=answer.origins[0]
+                    )
+            if not _find_sole(own, asked.answers):
+                return self._summarise(own, asked)
+        sole_version = _find_sole(own, asked.answers)
         query = query._replace(request_id='')
-        answers = [self.handle_query(query), *await self._query_peers(query)]
-        sole_version = sole_version or _find_sole(answers)
+        own = self.handle_query(query)
+        asked = await self._query_peers(query)
+        sole_version = sole_version or _find_sole(own, asked.answers)
         is_contradicted = any(
             not origin.is_certain or origin.version != sole_version
-            for answer in answers
+            for answer in (own, *asked.answers)
             for origin in answer.origins
         )
-        return messages.StreamFound(
-            (), '' if is_contradicted else sole_version
+        return self._summarise(own, asked)._replace(
+            sole_version='' if is_contradicted else sole_version
         )
 
-    async def _query_peers(
-        self, query: messages.StreamQuery
-    ) -> list[messages.StreamFound]:
-        answers: list[messages.StreamFound] = []
-        addresses = [_address(peer) for peer in self._rank(query.service)]
+    def _summarise(
+        self, own: messages.StreamFound, asked: _Asked
+    ) -> stream_search.StreamSearch:
+        live_ids = {peer.copy.node_id for peer in self._peers.live()}
+        member_ids = {peer.copy.node_id for peer in self._peers.members()}
+        return asked.summarise(own, member_ids - live_ids)
+
+    async def _query_peers(self, query: messages.StreamQuery) -> _Asked:
+        peers = self._rank(query.service)
         # In a small cluster all peers are queried: the node that relayed the
         # stream may have lost only its caller.
-        if not gossip_params.is_full_mesh(len(addresses)):
-            addresses = addresses[:_HOLDER_COUNT]
+        if not gossip_params.is_full_mesh(len(peers)):
+            peers = peers[:_HOLDER_COUNT]
+        asked = _Asked()
 
-        async def query_peer(address: address_book.PeerAddress) -> None:
+        async def query_peer(peer: peer_table.PeerReport) -> None:
             answer = await self._client.request(
-                address, query, _QUERY_TIMEOUT_S
+                _address(peer), query, _QUERY_TIMEOUT_S
             )
-            if isinstance(answer, messages.StreamFound):
-                answers.append(answer)
-                if query.request_id and answer.origins:
-                    nursery.cancel_scope.cancel()
+            if not isinstance(answer, messages.StreamFound):
+                asked.silent_ids.append(peer.copy.node_id)
+                return
+            asked.answered_ids.append(peer.copy.node_id)
+            asked.answers.append(answer)
+            if query.request_id and answer.origins:
+                nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for address in addresses:
-                nursery.start_soon(query_peer, address)
-        return answers
+            for peer in peers:
+                nursery.start_soon(query_peer, peer)
+        return asked
 
     def _find_equal(
         self, query: messages.StreamQuery
@@ -231,10 +272,11 @@
     return address_book.PeerAddress(peer.report.host, peer.report.peer_port)
 
 
-def _find_sole(answers: typing.Sequence[messages.StreamFound]) -> str:
+def _find_sole(
+    own: messages.StreamFound, others: typing.Sequence[messages.StreamFound]
+) -> str:
     """Return this node's sole version, else the one that its peers name."""
-    own, *others = answers
-    versions = {answer.sole_version for answer in others} - {''}
     if own.sole_version:
         return own.sole_version
+    versions = {answer.sole_version for answer in others} - {''}
     return versions.pop() if len(versions) == 1 else ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_metrics.py
@@ -36,6 +36,12 @@
             ['proof'],
             registry=self.registry,
         )
+        self.take_ups = prometheus_client.Counter(
+            'foxtailrelay_take_ups',
+            'Streams that callers took up, by how their version was known.',
+            ['known_by'],
+            registry=self.registry,
+        )
         self.answer_ends = prometheus_client.Counter(
             'foxtailrelay_answer_ends',
             'Ends of answers without a length, by what they are taken for.',
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -91,6 +91,9 @@
             )
         return self._others
 
+    def members(self):
+        return self.live()
+
 
 class _ServerList:
     def __init__(self):
--- a/tests/cover/relay/test_stream_versions.py
+++ b/tests/cover/relay/test_stream_versions.py
@@ -347,7 +347,7 @@
                 other = rng.choice(sorted(network.live - {asking}))
                 network.fail(other)
             found = await network.find(asking, f'r{number}')
-            assert found.origins == (origin,)
+            assert found.origin == origin
             for failed in set(range(node_count)) - network.live:
                 network.live.add(failed)
 
@@ -358,9 +358,9 @@
     async def main():
         network = origin_network.OriginNetwork(4)
         network.nodes[0].record(_ORIGIN)
-        assert (await network.find(1)).origins == (_ORIGIN,)
-        assert not (await network.find(1, fingerprint='other')).origins
-        assert not (await network.find(1, request_id='r2')).origins
+        assert (await network.find(1)).origin == _ORIGIN
+        assert (await network.find(1, fingerprint='other')).origin is None
+        assert (await network.find(1, request_id='r2')).origin is None
 
     _run(main)
 
@@ -370,7 +370,7 @@
         network = origin_network.OriginNetwork(4)
         network.nodes[0].record(_ORIGIN)
         network.restart(0)
-        assert (await network.find(0)).origins == (_ORIGIN,)
+        assert (await network.find(0)).origin == _ORIGIN
 
     _run(main)
 
@@ -391,10 +391,10 @@
         network.clock.now_s += 1
         for number in range(120):
             found = await network.find(number % node_count, f'r{number}')
-            assert found.origins
+            assert found.origin is not None
         # An origin is kept no longer for having been sent on.
         network.clock.now_s += _ORIGIN.keep_ms / 1000
-        assert not (await network.find(0, 'r1')).origins
+        assert (await network.find(0, 'r1')).origin is None
         counts = list(network.note_counts)
         for transfer in network.transfers.values():
             await transfer.send_to_new_holders()
@@ -424,7 +424,7 @@
         network = origin_network.OriginNetwork(7)
         network.live = {0}
         start_s = trio.current_time()
-        assert not (await network.find(0)).origins
+        assert (await network.find(0)).origin is None
         assert trio.current_time() - start_s <= 0.2
 
     _run(main)
@@ -453,12 +453,12 @@
         node = network.nodes[0]
         node.record(_ORIGIN)
         network.clock.now_s += 31.0
-        assert not (await network.find(0)).origins
+        assert (await network.find(0)).origin is None
         monkeypatch.setattr(stream_origins, '_MAX_ORIGINS', 5)
         for number in range(9):
             node.record(_ORIGIN._replace(request_id=f'r{number}'))
         found = [await network.find(0, f'r{number}') for number in range(9)]
-        assert [len(f.origins) for f in found] == [0] * 4 + [1] * 5
+        assert [f.origin is None for f in found] == [True] * 4 + [False] * 5
 
     _run(main)
 
--- a/tests/cover/relay/test_unlisted_processes.py
+++ b/tests/cover/relay/test_unlisted_processes.py
@@ -77,9 +77,9 @@
         )
         network.fail(1)
         found = await network.find(0, request_id)
-        assert found == messages.StreamFound((), sole_version)
+        assert (found.origin, found.sole_version) == (None, sole_version)
         found = await network.find(0, request_id, fingerprint='other')
-        assert found == messages.StreamFound((), 'v1')
+        assert (found.origin, found.sole_version) == (None, 'v1')
 
     virtual_time.run(main)
 
