Reproduce streams joined at a node that is out of step

Without a network: a list read 0.1 to 2.9 s ago, a server of v2 in the store, and a take-up without an origin.

--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -30,6 +30,8 @@
         Notes that each node has received.
     lists : list
         The nodes' lists; ``sole`` is their sole version, if not empty.
+    reporting : set of int
+        Nodes whose reports still reach the others.
     query_count : int
         Queries of all nodes.
     """
@@ -37,6 +39,7 @@
     def __init__(self, node_count):
         self.clock = fake_clocks.ManualClock()
         self.live = set(range(node_count))
+        self.reporting = set(range(node_count))
         self.note_counts = [0] * node_count
         self.query_count = 0
         self.lists = [_ServerList() for _ in range(node_count)]
@@ -74,6 +77,7 @@
     """All other nodes, also those that have just failed."""
 
     def __init__(self, network, own_number):
+        self._network = network
         self._starts = network.start_counts
         self._others = [
             types.SimpleNamespace(
@@ -85,23 +89,51 @@
         ]
 
     def live(self):
+        return [
+            peer
+            for peer in self.members()
+            if int(peer.report.host) in self._network.reporting
+        ]
+
+    def members(self):
         for peer in self._others:
             peer.start_id = (
                 f'{peer.report.host}/{self._starts[int(peer.report.host)]}'
             )
         return self._others
 
-    def members(self):
-        return self.live()
-
 
 class _ServerList:
+    """A list of which a read may show more.
+
+    Attributes
+    ----------
+    sole : str
+        The only version that the list shows.
+    sole_after_read : str or None
+        The only version once the store has been read; None if that changes
+        nothing.
+    is_store_away : bool
+        Whether reads fail.
+    """
+
     def __init__(self):
         self.sole = ''
+        self.sole_after_read = None
+        self.is_store_away = False
+        self.end = 1
 
     def sole_version(self, service, window_s):
         return self.sole
 
+    async def confirm(self):
+        await trio.lowlevel.checkpoint()
+        if self.is_store_away:
+            return False
+        if self.sole_after_read is not None:
+            self.sole = self.sole_after_read
+        return True
+
 
 class _Client:
     def __init__(self, network):
--- /dev/null
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -0,0 +1,218 @@
+"""A list that is behind names no version for a stream that is taken up."""
+
+from foxtailrelay_core import errors
+from foxtailrelay_node.internal.relay.state import topic_follower
+from foxtailrelay_node.internal.relay.state import topic_store
+import pytest
+import trio
+
+from common import origin_network
+from common import relay_rig
+from common import virtual_time
+
+_TOKENS = 'Token-Counts: 100,20'
+_TAKE_UP = ('Last-Event-Id: 2',)
+_NAMED_TAKE_UP = ('Last-Event-Id: 2', 'Resumes: never-sent')
+# Longer than streams of the route last.
+_FOLLOWED_S = 6.1
+
+
+class _Store(topic_store.TopicStore):
+    """A topic of servers, whose records a node reads only if it asks."""
+
+    def __init__(self):
+        self.records = []
+        self.state = 'answers'
+        self.read_count = 0
+        self.is_truncating = False
+
+    def put(self, key, value):
+        self.records.append(
+            topic_store.KeyedRecord(key, len(self.records), value)
+        )
+
+    async def read_snapshot(self, topic):
+        await self._answer()
+        newest = {record.key: record for record in self.records}
+        return topic_store.Snapshot(
+            tuple(r for r in newest.values() if r.value is not None),
+            len(self.records),
+        )
+
+    async def read_changes(self, topic, offset, wait_s):
+        self.read_count += 1
+        if self.state == 'refuses':
+            await trio.lowlevel.checkpoint()
+            return topic_store.Unavailable('down', False)
+        await self._answer()
+        return topic_store.Changes(
+            tuple(self.records[offset:]), len(self.records)
+        )
+
+    async def _answer(self):
+        if self.state == 'is silent':
+            await trio.sleep(2.0)
+        await trio.sleep(0.004)
+
+    async def read_log(self, topic, offset):
+        raise NotImplementedError
+
+    async def append_at(self, topic, offset, record):
+        raise NotImplementedError
+
+    async def append_keyed(self, topic, key, value):
+        raise NotImplementedError
+
+
+def _stream(first, last, requests):
+    events = [
+        relay_rig.encode_chunk(relay_rig.encode_event(number))
+        for number in range(first, last + 1)
+    ]
+    answer = relay_rig.stream_head() + b''.join(events)
+
+    async def serve(stream):
+        while request := await relay_rig.read_request(stream):
+            requests.append(request)
+            await stream.send_all(answer)
+            await stream.send_all(relay_rig.LAST_CHUNK)
+
+    return serve
+
+
+class _Node:
+    """A rig whose list of servers follows a store."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.store = _Store()
+        self.requests = []
+        rig.servers.follower = topic_follower.TopicFollower(
+            'servers', self.store, rig.servers, rig.health, rig.clock, 1.0
+        )
+
+    async def follow(self):
+        """List a server of v1 for as long as streams last."""
+        self.rig.add_server('model', 1, _stream(3, 4, self.requests))
+        self.list_server(1, 'v1')
+        await self.read()
+        await trio.sleep(_FOLLOWED_S)
+        await self.read()
+
+    def list_server(self, index, version, born=1):
+        value = relay_rig.encode_server_entry(
+            'model', index, version=version, born=born
+        )
+        self.store.put(f's{index}', value)
+
+    async def read(self):
+        await self.rig.servers.follower._read(0.0)
+
+    async def take_up(self, headers=_TAKE_UP):
+        # Keys stay valid however old the list is.
+        self.rig.confirm_configuration(
+            relay_rig.encode_configuration(100 + int(trio.current_time()))
+        )
+        caller = self.rig.connect()
+        await caller.send('/resume/x', _TOKENS, *headers, body=b'prompt')
+        return await caller.receive()
+
+
+def _with_node(function):
+    def play(*args):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                await function(_Node(relay_rig.RelayRig(nursery)), *args)
+                nursery.cancel_scope.cancel()
+
+        virtual_time.run(main)
+
+    return play
+
+
+@pytest.mark.parametrize('age_s', [0.1, 1.0, 2.9])
+@pytest.mark.parametrize('state', ['answers', 'is silent', 'refuses'])
+@pytest.mark.parametrize('headers', [_TAKE_UP, _NAMED_TAKE_UP])
+def test_stream_of_a_version_that_joined_since_the_last_read_is_not_joined(
+    age_s, state, headers
+):
+    @_with_node
+    async def play(node):
+        await node.follow()
+        node.list_server(2, 'v2')
+        node.store.state = state
+        await trio.sleep(age_s)
+        answer = await node.take_up(headers)
+        assert relay_rig.status_code(answer) == 503
+        assert b'not-run' in answer
+        assert node.requests == []
+        # Another node may have read the list.
+        is_known_here = state == 'answers'
+        assert (b'retry-after' in answer.lower()) is not is_known_here
+        if is_known_here:
+            kind = errors.ErrorKind.STREAM_ORIGIN_UNKNOWN
+            assert kind.value.encode() in answer
+
+    play()
+
+
+@pytest.mark.parametrize('age_s', [0.1, 1.0, 2.9])
+def test_stream_of_the_only_version_is_taken_up_after_a_read(age_s):
+    """Guards against refusals where no second version was ever listed."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        await trio.sleep(age_s)
+        answer = await node.take_up()
+        assert relay_rig.status_code(answer) == 200
+        assert len(node.requests) == 1
+
+    play()
+
+
+def test_take_ups_at_the_same_time_share_reads():
+    """Guards against a burst of take-ups that floods the store."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        reads = node.store.read_count
+        answers = []
+
+        async def take_up():
+            answers.append(await node.take_up())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(take_up)
+        assert [relay_rig.status_code(a) for a in answers] == [200] * 6
+        assert node.store.read_count - reads <= 2
+
+    play()
+
+
+@pytest.mark.parametrize('node_count', [3, 7, 66])
+@pytest.mark.parametrize('peers', ['answer', 'are silent', 'are not live'])
+@pytest.mark.parametrize('store', ['answers', 'is away'])
+def test_node_out_of_step_names_no_version(node_count, peers, store):
+    """Guards against silence of peers that counts as a word for a version."""
+
+    async def main():
+        network = origin_network.OriginNetwork(node_count)
+        out_of_step = network.lists[0]
+        out_of_step.sole = 'v1'
+        if store == 'answers':
+            # Several versions, once the list is read.
+            out_of_step.sole_after_read = ''
+        else:
+            out_of_step.is_store_away = True
+        if peers == 'are silent':
+            network.live = {0}
+        elif peers == 'are not live':
+            network.live = network.reporting = {0}
+        for request_id in ('', 'never-sent'):
+            found = await network.find(0, request_id)
+            assert (found.origin, found.sole_version) == (None, '')
+
+    virtual_time.run(main)
