Read the list of servers before a sole version is used

What callers saw: a stream that began at a server of v2 went on with events of v1. Callers that name no stream, or whose record's holders do not answer, are served where only one version was listed for as long as streams last.

Cause: "no other version was listed up to 3 s ago" was used as "no other version may have begun this stream". A node that is cut off from the store and its peers takes its old list for the present one for 3 s, and silence of the peers contradicts nothing. The class: a copy that is current within some seconds is used as if it were current after an event that another node has seen.

Change: a sole version counts only after a read of the list that began after the take-up arrived. A server is listed before nodes send it requests and the store is linearizable, so that read shows each version that may have begun the stream. Without an answer in 0.5 s (0.1 s while the store fails) the take-up is refused as not run, with Retry-After. Reads are shared, spaced by the number of nodes, and left out where several versions are listed. A peer's word counts only if its list ends no earlier (new field of StreamFound).

A mutant that confirms without a read is caught.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -296,6 +296,7 @@
   # At most one origin.
   origins @0 :List(StreamOrigin);
   soleVersion @1 :Text;
+  listEnd @2 :Int64 = -1;
 }
 
 struct TunnelOpen {
--- a/packages/core/src/foxtailrelay_core/internal/stream_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -67,7 +67,11 @@
     sole_version : str
         The only version that was listed in the time for which streams last;
         empty if there were several or it is not certain.
+    list_end : int
+        Position up to which the sender has read the list of servers; -1 if
+        it is not known.
     """
 
     origins: tuple[StreamOrigin, ...]
     sole_version: str = ''
+    list_end: int = -1
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -210,6 +210,7 @@
     def rank_followers(self, node_ids: list[str]) -> None:
         """Set the rank of each follower among the live nodes."""
         for follower in self._view.followers:
+            follower.node_count = 1 + len(node_ids)
             follower.rank = rendezvous_hash.rank(
                 follower.topic, self.identity.node_id, node_ids
             )
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -127,6 +127,7 @@
             and listed == {found.sole_version}
         ):
             progress.sole_version = found.sole_version
+        progress.is_list_confirmed = found.is_list_confirmed
         self._log_search(job, service, found, progress.sole_version)
         return job
 
@@ -157,6 +158,7 @@
                 'listed': sorted(servers.versions(service)),
                 'list_age_s': round(servers.age_s(), 3),
                 'configuration_age_s': round(self._context.state.age_s(), 3),
+                'is_list_confirmed': found.is_list_confirmed,
                 'own_sole': found.own_sole_version,
                 'peer_soles': found.peer_sole_versions,
                 'equal': found.equal_versions,
@@ -224,6 +226,7 @@
             progress.origin,
             progress.sole_version,
             servers.is_current(),
+            progress.is_list_confirmed,
         )
         usable = servers.usable(job.service)
         if isinstance(requirement, stream_version.Unresolved):
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -249,6 +249,17 @@
             return 0.0
         return self.follower.view.age_s(self._clock.boot_s())
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Read the list anew; return whether it has all earlier entries."""
+        if self.follower is None:
+            return True
+        return await self.follower.confirm(timeout_s)
+
+    @property
+    def end(self) -> int:
+        """Position up to which the list has been read."""
+        return -1 if self.follower is None else self.follower.view.end
+
     def sole_version(self, service: str, window_s: float) -> str:
         """Return the only version that was listed for some time.
 
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -18,6 +18,8 @@
 # Two holders may fail at the same time.
 _HOLDER_COUNT = 3
 _QUERY_TIMEOUT_S = 0.2
+# Twice the response time of a slow store.
+_LIST_TIMEOUT_S = 0.5
 _MAX_ORIGINS = 20_000
 _MAX_FOUND = 4
 
@@ -156,6 +158,7 @@
         return messages.StreamFound(
             origins,
             self._servers.sole_version(query.service, query.window_ms / 1000),
+            self._servers.end,
         )
 
     async def find(
@@ -163,34 +166,58 @@
     ) -> stream_search.StreamSearch:
         """Return what this node or another one has recorded of a stream.
 
-        The lists may not show yet that a version serves.  A sole version is
-        therefore none if an equal request was answered by another one.
+        Without a record, the only version that was listed is the stream's.  A
+        server is listed before it begins streams, so the list has to be read
+        after the search began: one that is older may lack the version that
+        began the stream at another node.
         """
         own = self.handle_query(query)
         asked = _Asked()
+        if query.request_id and not own.origins:
+            asked = await self._query_peers(query)
         if query.request_id:
-            if not own.origins:
-                asked = await self._query_peers(query)
-            for answer in (own, *asked.answers):
+            answers = (own, *asked.answers)
+            for answer in answers:
                 if answer.origins:
                     return self._summarise(own, asked)._replace(
                         origin=answer.origins[0]
                     )
-            if not _find_sole(own, asked.answers):
+            if not any(answer.sole_version for answer in answers):
                 return self._summarise(own, asked)
-        sole_version = _find_sole(own, asked.answers)
-        query = query._replace(request_id='')
+        if len(self._servers.versions(query.service)) > 1:
+            return self._summarise(own, asked)
+        return await self._find_sole_version(query._replace(request_id=''))
+
+    async def _find_sole_version(
+        self, query: messages.StreamQuery
+    ) -> stream_search.StreamSearch:
+        """Return the only version that may have begun a stream.
+
+        The list may not show a process that serves.  A sole version is
+        therefore none if an equal request was answered by another one.
+        """
+        is_confirmed = False
+
+        async def confirm_list() -> None:
+            nonlocal is_confirmed
+            is_confirmed = await self._servers.confirm(_LIST_TIMEOUT_S)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(confirm_list)
+            asked = await self._query_peers(query)
         own = self.handle_query(query)
-        asked = await self._query_peers(query)
-        sole_version = sole_version or _find_sole(own, asked.answers)
+        search = self._summarise(own, asked)._replace(
+            is_list_confirmed=is_confirmed
+        )
+        sole_version = _find_sole(own, asked.answers)
         is_contradicted = any(
             not origin.is_certain or origin.version != sole_version
             for answer in (own, *asked.answers)
             for origin in answer.origins
         )
-        return self._summarise(own, asked)._replace(
-            sole_version='' if is_contradicted else sole_version
-        )
+        if is_contradicted or not is_confirmed:
+            return search
+        return search._replace(sole_version=sole_version)
 
     def _summarise(
         self, own: messages.StreamFound, asked: _Asked
@@ -275,8 +302,15 @@
 def _find_sole(
     own: messages.StreamFound, others: typing.Sequence[messages.StreamFound]
 ) -> str:
-    """Return this node's sole version, else the one that its peers name."""
+    """Return this node's sole version, else the one that its peers name.
+
+    A peer whose list ends earlier may lack a version that has come and gone.
+    """
     if own.sole_version:
         return own.sole_version
-    versions = {answer.sole_version for answer in others} - {''}
+    versions = {
+        answer.sole_version
+        for answer in others
+        if answer.sole_version and answer.list_end >= own.list_end
+    }
     return versions.pop() if len(versions) == 1 else ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -1,6 +1,7 @@
 """Keeps a local copy of a keyed topic current."""
 
 import abc
+import math
 import random
 import typing
 
@@ -33,6 +34,13 @@
 # a connection may be unresponsive while a new one works.  Twice the response
 # time of a slow store.
 _FIRST_READ_TIMEOUT_S = 0.5
+# Reads for callers that wait; a topic that grows meanwhile needs several.
+_MAX_CONFIRMING_READS = 3
+# A store that has failed is either back, and answers at once, or is not.
+_FAILED_STORE_TIMEOUT_S = 0.1
+# Interval of such reads for each live node, so that all nodes together use a
+# small part of the reads that the store allows.
+_CONFIRMING_INTERVAL_S = 0.00125
 # Nodes of the first ranks use long polls; the others receive changes from
 # peers, well within the time in which a change must be in force.
 _POLLING_RANKS = 6
@@ -102,6 +110,8 @@
         Receives changed records.
     view : KeyedView
         The copy.
+    node_count : int
+        Number of live nodes.
     """
 
     def __init__(
@@ -123,6 +133,13 @@
         self._clock = clock
         self._confirmation_age_s = confirmation_age_s
         self._needs_snapshot = True
+        self.node_count = 1
+        # Reads are numbered as they begin.
+        self._begun_reads = 0
+        self._confirming_read = 0
+        self._failed_read = 0
+        self._reading = trio.Lock()
+        self._next_reading_s = -math.inf
 
     @property
     def rank(self) -> int:
@@ -194,6 +211,42 @@
             took_s = self._clock.boot_s() - started_s
             await trio.sleep(max(0.0, _MAX_BACKOFF_S - took_s))
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Read what the store has now.
+
+        Calls at the same time share reads.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds for which to wait for the store.
+
+        Returns
+        -------
+        bool
+            Whether the copy has all that was appended before the call.
+        """
+        if self._health.is_failing:
+            timeout_s = min(timeout_s, _FAILED_STORE_TIMEOUT_S)
+        earlier = self._begun_reads
+        with trio.move_on_after(timeout_s):
+            for _ in range(_MAX_CONFIRMING_READS):
+                async with self._reading:
+                    if max(self._confirming_read, self._failed_read) > earlier:
+                        break
+                    await self._pause_reading()
+                    await self._read(0.0)
+        return self._confirming_read > earlier
+
+    async def _pause_reading(self) -> None:
+        """Wait until this node may read for callers again."""
+        now_s = self._clock.boot_s()
+        if now_s < self._next_reading_s:
+            await trio.sleep(self._next_reading_s - now_s)
+        self._next_reading_s = (
+            self._clock.boot_s() + _CONFIRMING_INTERVAL_S * self.node_count
+        )
+
     async def _read_with_retry(self) -> bool:
         """Read without waiting; read again while there is no answer.
 
@@ -238,6 +291,8 @@
 
     async def _read(self, wait_s: float) -> bool:
         """Call the store once; return whether it answered."""
+        self._begun_reads += 1
+        number = self._begun_reads
         requested_at_s = self._clock.boot_s()
         era = store_position.era_of(self.view.end)
         if self._needs_snapshot or not self.view.is_loaded:
@@ -249,6 +304,7 @@
         match result:
             case topic_store.Unavailable(reason=reason):
                 self._health.record_failure(self.topic, reason, requested_at_s)
+                self._failed_read = number
                 return False
             case topic_store.Expired(first=first):
                 _LOG.info(
@@ -267,6 +323,8 @@
                 if self.view.has_room_again:
                     self._needs_snapshot = True
         self._health.record_success(self.topic, requested_at_s)
+        if self.view.as_of_s >= requested_at_s:
+            self._confirming_read = max(self._confirming_read, number)
         return True
 
     def apply_snapshot(
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -126,7 +126,10 @@
     def sole_version(self, service, window_s):
         return self.sole
 
-    async def confirm(self):
+    def versions(self, service):
+        return {self.sole or 'v1'}
+
+    async def confirm(self, timeout_s):
         await trio.lowlevel.checkpoint()
         if self.is_store_away:
             return False
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -133,9 +133,7 @@
 @pytest.mark.parametrize('age_s', [0.1, 1.0, 2.9])
 @pytest.mark.parametrize('state', ['answers', 'is silent', 'refuses'])
 @pytest.mark.parametrize('headers', [_TAKE_UP, _NAMED_TAKE_UP])
-def test_stream_of_a_version_that_joined_since_the_last_read_is_not_joined(
-    age_s, state, headers
-):
+def test_stream_of_an_unread_version_is_not_joined(age_s, state, headers):
     @_with_node
     async def play(node):
         await node.follow()
@@ -216,3 +214,60 @@
             assert (found.origin, found.sole_version) == (None, '')
 
     virtual_time.run(main)
+
+
+@pytest.mark.parametrize('peer_end, sole_version', [(6, ''), (7, 'v1')])
+def test_peer_with_an_older_list_names_no_version(peer_end, sole_version):
+    """Guards against a version that has come and gone since a peer's read."""
+
+    async def main():
+        network = origin_network.OriginNetwork(3)
+        # The first node has started a moment ago.
+        network.lists[0].end = 7
+        network.lists[1].sole = 'v1'
+        network.lists[1].end = peer_end
+        found = await network.find(0, '')
+        assert found.sole_version == sole_version
+
+    virtual_time.run(main)
+
+
+@pytest.mark.parametrize('is_store_away', [False, True])
+def test_list_is_read_only_where_one_version_is_listed(is_store_away):
+    """Guards against reads, and waiting callers, that can change nothing."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        node.list_server(2, 'v2')
+        await node.read()
+        if is_store_away:
+            node.store.state = 'is silent'
+        reads, start_s = node.store.read_count, trio.current_time()
+        answer = await node.take_up()
+        assert relay_rig.status_code(answer) == 503
+        assert b'retry-after' not in answer.lower()
+        assert node.store.read_count == reads
+        assert trio.current_time() - start_s < 0.05
+
+    play()
+
+
+def test_take_up_at_a_silent_store_is_refused_soon():
+    """Guards against callers that wait for a store that is known to fail."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        node.store.state = 'is silent'
+        start_s = trio.current_time()
+        assert relay_rig.status_code(await node.take_up()) == 503
+        assert trio.current_time() - start_s <= 0.55
+        node.rig.health.record_failure(
+            'servers', 'silent', node.rig.clock.boot_s()
+        )
+        start_s = trio.current_time()
+        assert relay_rig.status_code(await node.take_up()) == 503
+        assert trio.current_time() - start_s <= 0.15
+
+    play()
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -12,6 +12,7 @@
 from foxtailrelay_node.internal.relay.backends import health_check
 from foxtailrelay_node.internal.relay.backends import instance_report
 from foxtailrelay_node.internal.relay.backends import missing_reports
+from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.backends import unlisted_processes
 from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.http import answer_state
@@ -35,6 +36,7 @@
 from cover.relay import test_ending_processes as ending
 from cover.relay import test_event_steps as steps
 from cover.relay import test_missing_reports as missing
+from cover.relay import test_out_of_step_lists as out_of_step
 from cover.relay import test_replaced_instances as replaced
 from cover.relay import test_shared_signs as signs
 from cover.relay import test_stream_endings as endings
@@ -125,7 +127,17 @@
         )
 
 
+async def _confirm_nothing(*args):
+    return True
+
+
 _MUTANTS = {
+    'a list that was read before a take-up names the version': (
+        (server_list.ServerList, 'confirm', _confirm_nothing),
+        lambda: out_of_step.test_stream_of_an_unread_version_is_not_joined(
+            1.0, 'answers', ('Last-Event-Id: 2',)
+        ),
+    ),
     'an answer counts as sent when it is encoded': (
         (answer_state.AnswerState, 'begin_write', _begin_whole),
         lambda: writes.run_machine((hypothesis.Phase.generate,)),
