Restart the history of versions where one may have been missed

The node then named the remaining version as the only one for as long as streams last, and joined a stream of the missed version with it. The same class as the fault before: a copy that is current says nothing of what was listed in between.

--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -115,6 +115,26 @@
                 )
                 self._reject(record.key, f'{type(error).__name__} in the node')
 
+    def handle_gap(
+        self, records: typing.Sequence[topic_store.KeyedRecord] | None
+    ) -> None:
+        """Forget for how long versions were listed, if some may be missing."""
+        if records is None or any(
+            self._may_hide_versions(record) for record in records
+        ):
+            self._versions.restart(self._clock.boot_s())
+
+    def _may_hide_versions(self, record: topic_store.KeyedRecord) -> bool:
+        """Whether a server may have changed its version more than once."""
+        known = self._server_by_id.get(record.key)
+        if known is None or record.value is None:
+            return True
+        decoded = self._decoder.decode_server(record.key, record.value)
+        return isinstance(decoded, str) or (
+            (decoded.instance_key, decoded.version)
+            != (known.instance_key, known.version)
+        )
+
     def order_of(
         self, record: topic_store.KeyedRecord
     ) -> tuple[int, int] | None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/version_history.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/version_history.py
@@ -29,6 +29,10 @@
             if last_at_s < now_s - _RETENTION_S:
                 del self._last_at_s_by_version[key]
 
+    def restart(self, now_s: float) -> None:
+        """Record that earlier versions may be missing."""
+        self._first_at_s = now_s
+
     def find_sole(
         self, service: str, listed: set[str], now_s: float, window_s: float
     ) -> str:
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -63,6 +63,18 @@
         """
         return None
 
+    def handle_gap(
+        self, records: typing.Sequence[topic_store.KeyedRecord] | None
+    ) -> None:
+        """Handle that values before these records were never read.
+
+        Parameters
+        ----------
+        records : sequence of KeyedRecord or None
+            The newest records of all keys that have changed; None if keys may
+            have come and gone as well.
+        """
+
     def content_version(self) -> int:
         """Return the version of the content, for peers; 0 if it has none."""
         return 0
@@ -337,6 +349,8 @@
         ):
             self._health.record_restore(self.topic)
         was_truncated = self.view.is_truncated
+        if self.view.is_loaded and snapshot.end > self.view.end:
+            self.listener.handle_gap(None)
         self._notify_listener(self.view.replace(snapshot, as_of_s))
         self._log_truncation(was_truncated)
 
@@ -363,6 +377,11 @@
                 topic_store.Snapshot(records, answer.end), as_of_s
             )
         else:
+            # A peer sends the newest record of each key.
+            begin = self.view.end
+            missing = [r for r in records if r.offset >= begin]
+            if len(missing) < answer.end - begin:
+                self.listener.handle_gap(missing)
             self.apply_changes(
                 topic_store.Changes(records, answer.end), as_of_s
             )
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -1,6 +1,7 @@
 """A list that is behind names no version for a stream that is taken up."""
 
 from foxtailrelay_core import errors
+from foxtailrelay_core import messages
 from foxtailrelay_node.internal.relay.state import topic_follower
 from foxtailrelay_node.internal.relay.state import topic_store
 import pytest
@@ -271,3 +272,79 @@
         assert trio.current_time() - start_s <= 0.15
 
     play()
+
+
+def _copy_of(store, from_offset):
+    """Return what a peer with a current copy sends."""
+    newest = {r.key: r for r in store.records[from_offset:]}
+    return messages.TopicRecords(
+        'servers',
+        len(store.records),
+        0,
+        False,
+        tuple(
+            messages.TopicRecord(
+                r.key, r.offset, r.value or b'', r.value is None
+            )
+            for r in newest.values()
+        ),
+    )
+
+
+@pytest.mark.parametrize('source', ['snapshot', 'peer', 'store'])
+@pytest.mark.parametrize('has_own_id', [False, True])
+def test_stream_of_a_version_that_has_come_and_gone_is_not_joined(
+    source, has_own_id
+):
+    """Guards against copies that show only the newest entry of a server."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        node.rig.add_server('model', 2, _stream(3, 4, node.requests))
+        node.list_server(2, 'v1')
+        await node.read()
+        await trio.sleep(_FOLLOWED_S)
+        read_end = node.rig.servers.follower.view.end
+        key = 3 if has_own_id else 2
+        node.list_server(key, 'v2', born=2)
+        if has_own_id:
+            node.store.put('s3', None)
+        else:
+            node.list_server(2, 'v1', born=3)
+            node.rig.dialer.started_ms_by_host['10.0.0.2'] = 3
+        follower = node.rig.servers.follower
+        if source == 'snapshot':
+            follower._needs_snapshot = True
+        elif source == 'peer':
+            follower.apply_peer_records(
+                _copy_of(node.store, read_end), node.rig.clock.boot_s()
+            )
+        answer = await node.take_up()
+        assert relay_rig.status_code(answer) == 503
+        assert node.requests == []
+        # The list has been followed without a gap for long enough again.
+        await trio.sleep(_FOLLOWED_S)
+        await node.read()
+        answer = await node.take_up()
+        assert relay_rig.status_code(answer) == 200
+
+    play()
+
+
+def test_heartbeats_that_a_peer_leaves_out_hide_no_version():
+    """Guards against refusals at nodes that follow the list through peers."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        read_end = node.rig.servers.follower.view.end
+        node.list_server(1, 'v1')
+        node.list_server(1, 'v1')
+        node.rig.servers.follower.apply_peer_records(
+            _copy_of(node.store, read_end), node.rig.clock.boot_s()
+        )
+        answer = await node.take_up()
+        assert relay_rig.status_code(answer) == 200
+
+    play()
