Read the configuration before a sole version is used

The same cause elsewhere: a node whose configuration was a moment old took the service of a replaced route for the one that began a stream. Another node had read the new route and begun the stream at the new service; a take-up without a record, or with one that was looked for under the old services, went on at the old service.

A sole version now counts only after a read of the configuration that began after the take-up arrived and shows the same service. Otherwise the take-up is refused as not run, with Retry-After, since another node may know more.

The rig's configuration comes from a store that can be read.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/progress.py
@@ -45,8 +45,8 @@
     sole_version : str
         The only version that was listed while a stream may have begun; empty
         if not known.
-    is_list_confirmed : bool
-        Whether the list of servers could be read anew to find it.
+    search_failure : str
+        Why this node cannot find it, if another one may; else empty.
     requirement : VersionRequirement or None
         The servers that may go on with the stream, if it is resumed.
     instance_check : InstanceCheck or None
@@ -97,7 +97,7 @@
     max_gap_s: float | None = None
     origin: messages.StreamOrigin | None = None
     sole_version: str = ''
-    is_list_confirmed: bool = True
+    search_failure: str = ''
     requirement: stream_version.VersionRequirement | None = None
     instance_check: instance_prover.InstanceCheck | None = None
     witness: backend_connection.BackendConnection | None = None
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -24,6 +24,11 @@
 # A caller may come back for this time after its deadline.
 _KEEP_AFTER_DEADLINE_S = 30.0
 _MAX_KEEP_S = 600.0
+# Twice the response time of a slow store.
+_CONFIGURATION_TIMEOUT_S = 0.5
+_UNREAD_LIST = 'the list of servers cannot be read anew here'
+_UNREAD_CONFIGURATION = 'the configuration cannot be read anew here'
+_REPLACED_ROUTE = 'the route has been replaced a moment ago'
 # The list of another node may be current.
 _OTHER_NODE_RETRY_AFTER_S = 0.3
 # A server that replaces failed ones takes seconds to boot.
@@ -112,28 +117,48 @@
                 progress.position.record_later_event(
                     progress.origin.following_id
                 )
-                self._log_search(job, service, found, found.origin.version)
+                self._log_search(
+                    job, progress, service, found, found.origin.version
+                )
                 return job._replace(service=service)
         # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
-        past_services = self._context.state.route_history.find_services(
-            job.request.host,
-            job.request.path,
-            self._context.now_s() - window_s,
+        if not found.is_list_confirmed:
+            progress.search_failure = _UNREAD_LIST
+        elif services == {job.service} and listed == {found.sole_version}:
+            await self._find_sole_version(job, progress, found, window_s)
+        self._log_search(job, progress, service, found, progress.sole_version)
+        return job
+
+    async def _find_sole_version(
+        self,
+        job: jobs.Job,
+        progress: progresses.Progress,
+        found: stream_search.StreamSearch,
+        window_s: float,
+    ) -> None:
+        """Use the only version if the route has led to this service only.
+
+        Like a server, a new route is read by some nodes before others, and
+        streams begin there at once.
+        """
+        state, request = self._context.state, job.request
+        if not await state.confirm(_CONFIGURATION_TIMEOUT_S):
+            progress.search_failure = _UNREAD_CONFIGURATION
+            return
+        since_s = self._context.now_s() - window_s
+        past = state.route_history.find_services(
+            request.host, request.path, since_s
         )
-        if (
-            past_services is not None
-            and past_services | services == {job.service}
-            and listed == {found.sole_version}
-        ):
+        if state.find_services(request.host, request.path) != {job.service}:
+            progress.search_failure = _REPLACED_ROUTE
+        elif past is not None and past <= {job.service}:
             progress.sole_version = found.sole_version
-        progress.is_list_confirmed = found.is_list_confirmed
-        self._log_search(job, service, found, progress.sole_version)
-        return job
 
     def _log_search(
         self,
         job: jobs.Job,
+        progress: progresses.Progress,
         service: str,
         found: stream_search.StreamSearch,
         version: str,
@@ -159,6 +184,7 @@
                 'list_age_s': round(servers.age_s(), 3),
                 'configuration_age_s': round(self._context.state.age_s(), 3),
                 'is_list_confirmed': found.is_list_confirmed,
+                'failure': progress.search_failure,
                 'own_sole': found.own_sole_version,
                 'peer_soles': found.peer_sole_versions,
                 'equal': found.equal_versions,
@@ -226,7 +252,7 @@
             progress.origin,
             progress.sole_version,
             servers.is_current(),
-            progress.is_list_confirmed,
+            progress.search_failure,
         )
         usable = servers.usable(job.service)
         if isinstance(requirement, stream_version.Unresolved):
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -185,6 +185,15 @@
             return caller_limits.CallerLimits()
         return self.table.limits
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Read the configuration anew; return whether it is the newest."""
+        return await self.follower.confirm(timeout_s)
+
+    def find_services(self, host: str, path: str) -> set[str]:
+        """Return the services of a path in the configuration in force."""
+        route = self.table.match(host, path) if self.table else None
+        return {entry.service for entry in route.services} if route else set()
+
     def age_s(self) -> float:
         """Return seconds since the configuration was confirmed."""
         return self.follower.view.age_s(self._clock.boot_s())
--- a/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_version.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/policy/stream_version.py
@@ -54,7 +54,7 @@
     origin: messages.StreamOrigin | None,
     sole_version: str,
     is_list_current: bool,
-    is_list_confirmed: bool = True,
+    search_failure: str = '',
 ) -> VersionRequirement | Unresolved:
     """Return which servers may go on with a stream.
 
@@ -67,18 +67,16 @@
         if there were several or the list was not followed for so long.
     is_list_current : bool
         Whether this node's list of servers is current.
-    is_list_confirmed : bool
-        Whether it could be read anew to find a sole version.
+    search_failure : str
+        Why this node could not find a sole version, if another one may.
     """
     if not is_list_current:
         return Unresolved('the list of servers is not current here', True)
     if origin is None:
         if sole_version:
             return VersionRequirement(sole_version)
-        if not is_list_confirmed:
-            return Unresolved(
-                'the list of servers cannot be read anew here', True
-            )
+        if search_failure:
+            return Unresolved(search_failure, True)
         return Unresolved(
             'the version that began the stream is not recorded', False
         )
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -181,6 +181,39 @@
         return testing.memory_stream_pair()[0]
 
 
+class _ConfigurationStore(topic_store.TopicStore):
+    """A store of which a read shows what the node has not read yet."""
+
+    def __init__(self):
+        self.values = []
+        self.is_away = False
+
+    async def read_snapshot(self, topic):
+        changes = await self.read_changes(topic, 0, 0.0)
+        if isinstance(changes, topic_store.Unavailable):
+            return changes
+        return topic_store.Snapshot(changes.records[-1:], changes.end)
+
+    async def read_changes(self, topic, offset, wait_s):
+        await trio.lowlevel.checkpoint()
+        if self.is_away:
+            return topic_store.Unavailable('down', False)
+        records = tuple(
+            topic_store.KeyedRecord('config', index, value)
+            for index, value in enumerate(self.values)
+        )
+        return topic_store.Changes(records[offset:], len(records))
+
+    async def read_log(self, topic, offset):
+        raise NotImplementedError
+
+    async def append_at(self, topic, offset, record):
+        raise NotImplementedError
+
+    async def append_keyed(self, topic, key, value):
+        raise NotImplementedError
+
+
 class RelayRig:
     """A node's request path with in-memory callers and backends."""
 
@@ -195,8 +228,14 @@
             self.clock,
             KEY_VALIDITY_S,
         )
+        self.store = _ConfigurationStore()
         self.follower = topic_follower.TopicFollower(
-            'configuration', None, self.state, self.health, self.clock, 1.0
+            'configuration',
+            self.store,
+            self.state,
+            self.health,
+            self.clock,
+            1.0,
         )
         self.state.follower = self.follower
         self.servers = server_list.ServerList(
@@ -335,10 +374,11 @@
 
     def confirm_configuration(self, value):
         """Apply a configuration as if it had just been read from the store."""
-        end = self.follower.view.end + 1
-        records = (topic_store.KeyedRecord('config', end, value),)
+        self.store.values.append(value)
+        end = len(self.store.values)
+        records = (topic_store.KeyedRecord('config', end - 1, value),)
         self.follower.apply_snapshot(
-            topic_store.Snapshot(records, end + 1), self.clock.boot_s()
+            topic_store.Snapshot(records, end), self.clock.boot_s()
         )
 
     def add_server(self, service, index, backend, **changes):
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -109,11 +109,15 @@
     async def read(self):
         await self.rig.servers.follower._read(0.0)
 
-    async def take_up(self, headers=_TAKE_UP):
-        # Keys stay valid however old the list is.
+    def confirm_configuration(self):
+        """Keep keys valid, however old the list is."""
         self.rig.confirm_configuration(
             relay_rig.encode_configuration(100 + int(trio.current_time()))
         )
+
+    async def take_up(self, headers=_TAKE_UP, confirms_configuration=True):
+        if confirms_configuration:
+            self.confirm_configuration()
         caller = self.rig.connect()
         await caller.send('/resume/x', _TOKENS, *headers, body=b'prompt')
         return await caller.receive()
@@ -348,3 +352,35 @@
         assert relay_rig.status_code(answer) == 200
 
     play()
+
+
+@pytest.mark.parametrize('headers', [_TAKE_UP, _NAMED_TAKE_UP])
+@pytest.mark.parametrize('is_store_away', [False, True])
+def test_stream_does_not_go_on_by_a_route_that_was_replaced(
+    headers, is_store_away
+):
+    """Guards against joined streams while a configuration is not read yet."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        node.confirm_configuration()
+        content = relay_rig.decoded_configuration()
+        route = next(r for r in content['routes'] if r['name'] == 'resume')
+        route['service'] = 'other'
+        content['services'].append(content['services'][1] | {'name': 'other'})
+        store = node.rig.store
+        store.is_away = is_store_away
+        if not is_store_away:
+            store.values.append(
+                relay_rig.encode_configuration(
+                    900, routes=content['routes'], services=content['services']
+                )
+            )
+        answer = await node.take_up(headers, confirms_configuration=False)
+        assert relay_rig.status_code(answer) == 503
+        # Another node, or this one soon, knows the new route.
+        assert b'retry-after' in answer.lower()
+        assert node.requests == []
+
+    play()
