Know the routes of a stream for as long as its versions

A stream that began at another service, before a replaced route that the node never read, went on at the present one; so did one whose version only a peer named, which was not asked for routes at all.

The history of routes begins with the first configuration and begins anew where one may have been missed. A query names host and path, a peer names a version only if it knows that the route led to this service alone, and its word counts if it has read the list and the configuration as far as the asking node.

A node that has just started keeps serving take-ups by the word of peers. Fields at the end of StreamQuery and StreamFound; an earlier release names none, and its word is not used.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -290,6 +290,8 @@
   service @1 :Text;
   fingerprint @2 :Text;
   windowMs @3 :UInt32;
+  host @4 :Text;
+  path @5 :Text;
 }
 
 struct StreamFound {
@@ -297,6 +299,7 @@
   origins @0 :List(StreamOrigin);
   soleVersion @1 :Text;
   listEnd @2 :Int64 = -1;
+  configurationEnd @3 :Int64 = -1;
 }
 
 struct TunnelOpen {
--- a/packages/core/src/foxtailrelay_core/internal/stream_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/stream_messages.py
@@ -49,12 +49,16 @@
         Fingerprint of the request; a stream of another one is not found.
     window_ms : int
         Milliseconds for which streams last.
+    host, path : str
+        What the caller named; empty if the sender does not ask for routes.
     """
 
     request_id: str
     service: str
     fingerprint: str
     window_ms: int
+    host: str = ''
+    path: str = ''
 
 
 class StreamFound(typing.NamedTuple):
@@ -67,11 +71,12 @@
     sole_version : str
         The only version that was listed in the time for which streams last;
         empty if there were several or it is not certain.
-    list_end : int
-        Position up to which the sender has read the list of servers; -1 if
-        it is not known.
+    list_end, configuration_end : int
+        Positions up to which the sender has read the list of servers and the
+        configuration; -1 if it is not known.
     """
 
     origins: tuple[StreamOrigin, ...]
     sole_version: str = ''
     list_end: int = -1
+    configuration_end: int = -1
--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/peering.py
@@ -157,7 +157,11 @@
         # these messages, so placement has connections of its own.
         self._stream_client = dispatch_client.DispatchClient(dialer)
         self.origins = stream_origins.StreamOrigins(
-            view.servers, self.gossip.peers, self._stream_client, clock
+            view.servers,
+            self.gossip.peers,
+            self._stream_client,
+            clock,
+            view.state,
         )
         self._signs_client = dispatch_client.DispatchClient(dialer)
         self.signs = peer_signs.PeerSigns(
--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -24,11 +24,6 @@
 # A caller may come back for this time after its deadline.
 _KEEP_AFTER_DEADLINE_S = 30.0
 _MAX_KEEP_S = 600.0
-# Twice the response time of a slow store.
-_CONFIGURATION_TIMEOUT_S = 0.5
-_UNREAD_LIST = 'the list of servers cannot be read anew here'
-_UNREAD_CONFIGURATION = 'the configuration cannot be read anew here'
-_REPLACED_ROUTE = 'the route has been replaced a moment ago'
 # The list of another node may be current.
 _OTHER_NODE_RETRY_AFTER_S = 0.3
 # A server that replaces failed ones takes seconds to boot.
@@ -110,6 +105,8 @@
                     service,
                     job.fingerprint,
                     int(window_s * 1000),
+                    job.request.host,
+                    job.request.path,
                 )
             )
             if found.origin is not None:
@@ -123,38 +120,19 @@
                 return job._replace(service=service)
         # The history of a peer may be longer, but its list may be older.
         listed = self._context.servers.versions(job.service)
-        if not found.is_list_confirmed:
-            progress.search_failure = _UNREAD_LIST
+        current_services = self._context.state.find_services(
+            job.request.host, job.request.path
+        )
+        if found.unread:
+            names = ' and '.join(found.unread)
+            progress.search_failure = f'cannot read anew here: {names}'
+        elif current_services != services:
+            progress.search_failure = 'the route was replaced a moment ago'
         elif services == {job.service} and listed == {found.sole_version}:
-            await self._find_sole_version(job, progress, found, window_s)
+            progress.sole_version = found.sole_version
         self._log_search(job, progress, service, found, progress.sole_version)
         return job
 
-    async def _find_sole_version(
-        self,
-        job: jobs.Job,
-        progress: progresses.Progress,
-        found: stream_search.StreamSearch,
-        window_s: float,
-    ) -> None:
-        """Use the only version if the route has led to this service only.
-
-        Like a server, a new route is read by some nodes before others, and
-        streams begin there at once.
-        """
-        state, request = self._context.state, job.request
-        if not await state.confirm(_CONFIGURATION_TIMEOUT_S):
-            progress.search_failure = _UNREAD_CONFIGURATION
-            return
-        since_s = self._context.now_s() - window_s
-        past = state.route_history.find_services(
-            request.host, request.path, since_s
-        )
-        if state.find_services(request.host, request.path) != {job.service}:
-            progress.search_failure = _REPLACED_ROUTE
-        elif past is not None and past <= {job.service}:
-            progress.sole_version = found.sole_version
-
     def _log_search(
         self,
         job: jobs.Job,
@@ -183,7 +161,7 @@
                 'listed': sorted(servers.versions(service)),
                 'list_age_s': round(servers.age_s(), 3),
                 'configuration_age_s': round(self._context.state.age_s(), 3),
-                'is_list_confirmed': found.is_list_confirmed,
+                'unread': found.unread,
                 'failure': progress.search_failure,
                 'own_sole': found.own_sole_version,
                 'peer_soles': found.peer_sole_versions,
--- a/packages/node/src/foxtailrelay_node/internal/relay/catalogue/route_history.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/catalogue/route_history.py
@@ -34,6 +34,11 @@
         ):
             self._forgotten_at_s = self._replaced.popleft().at_s
 
+    def restart(self, now_s: float) -> None:
+        """Record that tables of before may be missing."""
+        self._replaced.clear()
+        self._forgotten_at_s = now_s
+
     def find_services(
         self, host: str, path: str, since_s: float
     ) -> set[str] | None:
--- a/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/node_state.py
@@ -125,7 +125,9 @@
                     self._copy_suspected_until_s = (
                         self._clock.boot_s() + self._key_validity_s
                     )
-                if self.table is not None:
+                if self.table is None:
+                    self.route_history.restart(self._clock.boot_s())
+                else:
                     self.route_history.record_replaced(
                         self.table, self._clock.boot_s()
                     )
@@ -152,6 +154,15 @@
                 },
             )
 
+    def handle_gap(
+        self, records: typing.Sequence[topic_store.KeyedRecord] | None
+    ) -> None:
+        """Forget the routes of before, if some may be missing."""
+        if records is None or any(
+            record.key == _CONFIGURATION_KEY for record in records
+        ):
+            self.route_history.restart(self._clock.boot_s())
+
     def order_of(self, record: topic_store.KeyedRecord) -> int | None:
         """Return the version of a configuration; None if it is unusable."""
         if record.key != _CONFIGURATION_KEY or record.value is None:
@@ -194,6 +205,22 @@
         route = self.table.match(host, path) if self.table else None
         return {entry.service for entry in route.services} if route else set()
 
+    @property
+    def end(self) -> int:
+        """Position up to which the configuration has been read."""
+        return self.follower.view.end
+
+    def leads_only_to(
+        self, service: str, host: str, path: str, window_s: float
+    ) -> bool:
+        """Whether a path has led to one service alone for some time."""
+        past = self.route_history.find_services(
+            host, path, self._clock.boot_s() - window_s
+        )
+        return past is not None and past | self.find_services(host, path) == {
+            service
+        }
+
     def age_s(self) -> float:
         """Return seconds since the configuration was confirmed."""
         return self.follower.view.age_s(self._clock.boot_s())
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -9,6 +9,7 @@
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay import clock as clocks
 from foxtailrelay_node.internal.relay.dispatch import dispatch_client
+from foxtailrelay_node.internal.relay import node_state
 from foxtailrelay_node.internal.relay.peers import address_book
 from foxtailrelay_node.internal.relay.peers import gossip_params
 from foxtailrelay_node.internal.relay.peers import peer_table
@@ -19,7 +20,7 @@
 _HOLDER_COUNT = 3
 _QUERY_TIMEOUT_S = 0.2
 # Twice the response time of a slow store.
-_LIST_TIMEOUT_S = 0.5
+_READ_TIMEOUT_S = 0.5
 _MAX_ORIGINS = 20_000
 _MAX_FOUND = 4
 
@@ -75,6 +76,8 @@
         Connections to the holders.
     clock : Clock
         Clock for the times for which origins are kept.
+    state : NodeState
+        The routes that lead to services, and did.
     """
 
     def __init__(
@@ -83,7 +86,9 @@
         peers: peer_table.PeerTable,
         client: dispatch_client.DispatchClient,
         clock: clocks.Clock,
+        state: node_state.NodeState,
     ) -> None:
+        self._state = state
         self._servers = servers
         self._peers = peers
         self._client = client
@@ -157,19 +162,30 @@
             origins = self._find_equal(query)
         return messages.StreamFound(
             origins,
-            self._servers.sole_version(query.service, query.window_ms / 1000),
+            self._find_listed_version(query),
             self._servers.end,
+            self._state.end,
         )
 
+    def _find_listed_version(self, query: messages.StreamQuery) -> str:
+        """Return the only version that may have begun a stream, if known."""
+        window_s = query.window_ms / 1000
+        # Earlier releases do not name the route.
+        if query.host and not self._state.leads_only_to(
+            query.service, query.host, query.path, window_s
+        ):
+            return ''
+        return self._servers.sole_version(query.service, window_s)
+
     async def find(
         self, query: messages.StreamQuery
     ) -> stream_search.StreamSearch:
         """Return what this node or another one has recorded of a stream.
 
-        Without a record, the only version that was listed is the stream's.  A
-        server is listed before it begins streams, so the list has to be read
-        after the search began: one that is older may lack the version that
-        began the stream at another node.
+        Without a record, the only version that was listed is the stream's, if
+        the route has led to one service only.  Servers and routes are stored
+        before streams begin there, so both have to be read after the search
+        began: older copies may lack what began the stream at another node.
         """
         own = self.handle_query(query)
         asked = _Asked()
@@ -184,7 +200,10 @@
                     )
             if not any(answer.sole_version for answer in answers):
                 return self._summarise(own, asked)
-        if len(self._servers.versions(query.service)) > 1:
+        services = self._state.find_services(query.host, query.path)
+        if len(self._servers.versions(query.service)) > 1 or (
+            query.host and services != {query.service}
+        ):
             return self._summarise(own, asked)
         return await self._find_sole_version(query._replace(request_id=''))
 
@@ -196,18 +215,23 @@
         The list may not show a process that serves.  A sole version is
         therefore none if an equal request was answered by another one.
         """
-        is_confirmed = False
+        confirmed: set[str] = set()
 
         async def confirm_list() -> None:
-            nonlocal is_confirmed
-            is_confirmed = await self._servers.confirm(_LIST_TIMEOUT_S)
+            if await self._servers.confirm(_READ_TIMEOUT_S):
+                confirmed.add('list')
+
+        async def confirm_configuration() -> None:
+            if await self._state.confirm(_READ_TIMEOUT_S):
+                confirmed.add('configuration')
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(confirm_list)
+            nursery.start_soon(confirm_configuration)
             asked = await self._query_peers(query)
         own = self.handle_query(query)
         search = self._summarise(own, asked)._replace(
-            is_list_confirmed=is_confirmed
+            unread=tuple(sorted({'list', 'configuration'} - confirmed))
         )
         sole_version = _find_sole(own, asked.answers)
         is_contradicted = any(
@@ -215,7 +239,7 @@
             for answer in (own, *asked.answers)
             for origin in answer.origins
         )
-        if is_contradicted or not is_confirmed:
+        if is_contradicted or search.unread:
             return search
         return search._replace(sole_version=sole_version)
 
@@ -304,13 +328,15 @@
 ) -> str:
     """Return this node's sole version, else the one that its peers name.
 
-    A peer whose list ends earlier may lack a version that has come and gone.
+    A peer that has read less may lack what has come and gone.
     """
     if own.sole_version:
         return own.sole_version
     versions = {
         answer.sole_version
         for answer in others
-        if answer.sole_version and answer.list_end >= own.list_end
+        if answer.sole_version
+        and answer.list_end >= own.list_end
+        and answer.configuration_end >= own.configuration_end
     }
     return versions.pop() if len(versions) == 1 else ''
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_search.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_search.py
@@ -22,9 +22,9 @@
     equal_versions : tuple of str
         Versions of streams of equal requests; empty for a process whose
         version is not known.
-    is_list_confirmed : bool
-        Whether the list was read after the search began, if that was needed
-        for a conclusion.
+    unread : tuple of str
+        What could not be read after the search began, though a conclusion
+        needs it: ``list`` (of servers), ``configuration``.
     answered_ids, silent_ids : tuple of str
         Nodes that have answered, and those that have not in time.
     absent_ids : tuple of str
@@ -36,7 +36,7 @@
     own_sole_version: str = ''
     peer_sole_versions: tuple[str, ...] = ()
     equal_versions: tuple[str, ...] = ()
-    is_list_confirmed: bool = True
+    unread: tuple[str, ...] = ()
     answered_ids: tuple[str, ...] = ()
     silent_ids: tuple[str, ...] = ()
     absent_ids: tuple[str, ...] = ()
--- a/packages/node/src/foxtailrelay_node/internal/relay/rollouts/paired_listener.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/rollouts/paired_listener.py
@@ -33,6 +33,12 @@
         self._board.handle_orders(records)
         self._configuration.handle_records(records)
 
+    def handle_gap(
+        self, records: typing.Sequence[topic_store.KeyedRecord] | None
+    ) -> None:
+        """Handle that configurations may be missing."""
+        self._configuration.handle_gap(records)
+
     def order_of(self, record: topic_store.KeyedRecord) -> typing.Any:
         """Return the place of a configuration among its versions."""
         return self._configuration.order_of(record)
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -30,6 +30,9 @@
         Notes that each node has received.
     lists : list
         The nodes' lists; ``sole`` is their sole version, if not empty.
+    routes : list
+        The nodes' routes; ``is_known_long`` is whether they know where the
+        path has led for as long as streams last.
     reporting : set of int
         Nodes whose reports still reach the others.
     query_count : int
@@ -43,6 +46,7 @@
         self.note_counts = [0] * node_count
         self.query_count = 0
         self.lists = [_ServerList() for _ in range(node_count)]
+        self.routes = [_Routes() for _ in range(node_count)]
         self.start_counts = [0] * node_count
         self.transfers = {}
         self.nodes = [self._build(number) for number in range(node_count)]
@@ -56,16 +60,20 @@
         self.live.add(number)
         self.nodes[number] = self._build(number)
 
-    async def find(self, number, request_id='r1', fingerprint='f'):
+    async def find(
+        self, number, request_id='r1', fingerprint='f', host='', path=''
+    ):
         """Return what a node finds."""
-        query = messages.StreamQuery(request_id, 'model', fingerprint, 17_000)
+        query = messages.StreamQuery(
+            request_id, 'model', fingerprint, 17_000, host, path
+        )
         return await self.nodes[number].find(query)
 
     def _build(self, number):
         self.start_counts[number] += 1
         peers, client = _Peers(self, number), _Client(self)
         node = stream_origins.StreamOrigins(
-            self.lists[number], peers, client, self.clock
+            self.lists[number], peers, client, self.clock, self.routes[number]
         )
         self.transfers[number] = origin_transfer.OriginTransfer(
             node, peers, client
@@ -103,6 +111,24 @@
         return self._others
 
 
+class _Routes:
+    """Routes that have led to one service, as far as they are known."""
+
+    def __init__(self):
+        self.is_known_long = True
+        self.end = 1
+
+    def find_services(self, host, path):
+        return {'model'}
+
+    def leads_only_to(self, service, host, path, window_s):
+        return self.is_known_long
+
+    async def confirm(self, timeout_s):
+        await trio.lowlevel.checkpoint()
+        return True
+
+
 class _ServerList:
     """A list of which a read may show more.
 
--- a/tests/common/relay_rig.py
+++ b/tests/common/relay_rig.py
@@ -265,7 +265,7 @@
         links = dispatch_client.DispatchClient(self.dialer)
         nursery.start_soon(links.run)
         self.origins = stream_origins.StreamOrigins(
-            self.servers, self.table, links, self.clock
+            self.servers, self.table, links, self.clock, self.state
         )
         self.signs = peer_signs.PeerSigns(
             process_signs.ProcessSignsTable(), self.table, links, self.clock
@@ -377,9 +377,13 @@
         self.store.values.append(value)
         end = len(self.store.values)
         records = (topic_store.KeyedRecord('config', end - 1, value),)
-        self.follower.apply_snapshot(
-            topic_store.Snapshot(records, end), self.clock.boot_s()
-        )
+        now_s = self.clock.boot_s()
+        if self.follower.view.is_loaded:
+            changes = topic_store.Changes(records, end)
+            self.follower.apply_changes(changes, now_s)
+        else:
+            snapshot = topic_store.Snapshot(records, end)
+            self.follower.apply_snapshot(snapshot, now_s)
 
     def add_server(self, service, index, backend, **changes):
         """Add a listed server; ``backend`` serves its connections."""
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -221,16 +221,20 @@
     virtual_time.run(main)
 
 
+@pytest.mark.parametrize('topic', ['lists', 'routes'])
 @pytest.mark.parametrize('peer_end, sole_version', [(6, ''), (7, 'v1')])
-def test_peer_with_an_older_list_names_no_version(peer_end, sole_version):
-    """Guards against a version that has come and gone since a peer's read."""
+def test_peer_that_has_read_less_names_no_version(
+    topic, peer_end, sole_version
+):
+    """Guards against what has come and gone since a peer's read."""
 
     async def main():
         network = origin_network.OriginNetwork(3)
+        copies = getattr(network, topic)
         # The first node has started a moment ago.
-        network.lists[0].end = 7
+        copies[0].end = 7
+        copies[1].end = peer_end
         network.lists[1].sole = 'v1'
-        network.lists[1].end = peer_end
         found = await network.find(0, '')
         assert found.sole_version == sole_version
 
@@ -354,6 +358,16 @@
     play()
 
 
+def _encode_route_to(service, version):
+    content = relay_rig.decoded_configuration()
+    route = next(r for r in content['routes'] if r['name'] == 'resume')
+    route['service'] = service
+    content['services'].append(content['services'][1] | {'name': 'other'})
+    return relay_rig.encode_configuration(
+        version, routes=content['routes'], services=content['services']
+    )
+
+
 @pytest.mark.parametrize('headers', [_TAKE_UP, _NAMED_TAKE_UP])
 @pytest.mark.parametrize('is_store_away', [False, True])
 def test_stream_does_not_go_on_by_a_route_that_was_replaced(
@@ -365,18 +379,10 @@
     async def play(node):
         await node.follow()
         node.confirm_configuration()
-        content = relay_rig.decoded_configuration()
-        route = next(r for r in content['routes'] if r['name'] == 'resume')
-        route['service'] = 'other'
-        content['services'].append(content['services'][1] | {'name': 'other'})
         store = node.rig.store
         store.is_away = is_store_away
         if not is_store_away:
-            store.values.append(
-                relay_rig.encode_configuration(
-                    900, routes=content['routes'], services=content['services']
-                )
-            )
+            store.values.append(_encode_route_to('other', 900))
         answer = await node.take_up(headers, confirms_configuration=False)
         assert relay_rig.status_code(answer) == 503
         # Another node, or this one soon, knows the new route.
@@ -384,3 +390,53 @@
         assert node.requests == []
 
     play()
+
+
+@pytest.mark.parametrize('is_known_long', [False, True])
+def test_peer_names_a_version_only_if_it_knows_the_route(is_known_long):
+    """Guards against a service that another one has replaced lately."""
+
+    async def main():
+        network = origin_network.OriginNetwork(3)
+        network.lists[1].sole = 'v1'
+        network.routes[1].is_known_long = is_known_long
+        found = await network.find(0, '', host='h', path='/resume/x')
+        assert found.sole_version == ('v1' if is_known_long else '')
+
+    virtual_time.run(main)
+
+
+@pytest.mark.parametrize('how', ['start', 'snapshot', 'peer'])
+def test_stream_of_a_route_that_was_replaced_unseen_is_not_joined(how):
+    """Guards against nodes that know a route for less time than servers."""
+
+    @_with_node
+    async def play(node):
+        await node.follow()
+        follower, store = node.rig.follower, node.rig.store
+        if how == 'start':
+            # The route led elsewhere before the node read a configuration.
+            node.rig.state.table = None
+            follower._needs_snapshot = True
+        begin = follower.view.end
+        store.values.append(_encode_route_to('other', 900))
+        store.values.append(_encode_route_to('model', 901))
+        if how == 'peer':
+            record = messages.TopicRecord(
+                'config', begin + 1, store.values[-1], False
+            )
+            follower.apply_peer_records(
+                messages.TopicRecords(
+                    'configuration', begin + 2, 0, False, (record,)
+                ),
+                node.rig.clock.boot_s(),
+            )
+        else:
+            follower._needs_snapshot = True
+            await follower._read(0.0)
+        assert node.rig.state.table.version == 901
+        answer = await node.take_up(confirms_configuration=False)
+        assert relay_rig.status_code(answer) == 503
+        assert node.requests == []
+
+    play()
