Count the silence of all peers as unknown

The record of a stream that began at a process which no list shows (the next one at a known address) is at its node and at the holders only. A node whose links to all peers are cut, but not that to the store, took their silence for "no such stream", and the version of the list for the stream's.

If none of them answers or refuses the connection, the take-up is refused as not run, with Retry-After.

--- a/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/attempts/stream_versions.py
@@ -123,9 +123,8 @@
         current_services = self._context.state.find_services(
             job.request.host, job.request.path
         )
-        if found.unread:
-            names = ' and '.join(found.unread)
-            progress.search_failure = f'cannot read anew here: {names}'
+        if found.failure:
+            progress.search_failure = found.failure
         elif current_services != services:
             progress.search_failure = 'the route was replaced a moment ago'
         elif services == {job.service} and listed == {found.sole_version}:
@@ -161,12 +160,12 @@
                 'listed': sorted(servers.versions(service)),
                 'list_age_s': round(servers.age_s(), 3),
                 'configuration_age_s': round(self._context.state.age_s(), 3),
-                'unread': found.unread,
                 'failure': progress.search_failure,
                 'own_sole': found.own_sole_version,
                 'peer_soles': found.peer_sole_versions,
                 'equal': found.equal_versions,
                 'answered': found.answered_ids,
+                'ended': found.ended_ids,
                 'silent': found.silent_ids,
                 'absent': found.absent_ids,
             },
--- a/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/dispatch/dispatch_client.py
@@ -10,6 +10,8 @@
 
 _LOG = logbook.Logger('foxtailrelay.dispatch')
 _CONNECT_TIMEOUT_S = 0.3
+# What is returned in place of an answer that has not arrived in time.
+TIMEOUT = 'timeout'
 # Further notes to a slow node are dropped.
 _MAX_QUEUED_NOTES = 256
 
@@ -81,7 +83,7 @@
                 return await link.peer.request(message, timeout_s)
             except peer_link.LinkClosed as error:
                 return str(error)
-        return 'timeout'
+        return TIMEOUT
 
     def send_note(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -21,6 +21,8 @@
 _QUERY_TIMEOUT_S = 0.2
 # Twice the response time of a slow store.
 _READ_TIMEOUT_S = 0.5
+_LIST = 'list of servers'
+_CONFIGURATION = 'configuration'
 _MAX_ORIGINS = 20_000
 _MAX_FOUND = 4
 
@@ -39,6 +41,14 @@
         self.answers: list[messages.StreamFound] = []
         self.answered_ids: list[str] = []
         self.silent_ids: list[str] = []
+        self.ended_ids: list[str] = []
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether there are peers, and none is known to live or to end."""
+        return bool(self.silent_ids) and not (
+            self.answered_ids or self.ended_ids
+        )
 
     def summarise(
         self, own: messages.StreamFound, absent_ids: typing.Iterable[str]
@@ -55,6 +65,7 @@
             peer_sole_versions=tuple(sorted(peer_versions - {''})),
             equal_versions=tuple(sorted(equal_versions)),
             answered_ids=tuple(sorted(self.answered_ids)),
+            ended_ids=tuple(sorted(self.ended_ids)),
             silent_ids=tuple(sorted(self.silent_ids)),
             absent_ids=tuple(sorted(absent_ids)),
         )
@@ -213,17 +224,18 @@
         """Return the only version that may have begun a stream.
 
         The list may not show a process that serves.  A sole version is
-        therefore none if an equal request was answered by another one.
+        therefore none if an equal request was answered by another one, or if
+        no peer can say so.
         """
         confirmed: set[str] = set()
 
         async def confirm_list() -> None:
             if await self._servers.confirm(_READ_TIMEOUT_S):
-                confirmed.add('list')
+                confirmed.add(_LIST)
 
         async def confirm_configuration() -> None:
             if await self._state.confirm(_READ_TIMEOUT_S):
-                confirmed.add('configuration')
+                confirmed.add(_CONFIGURATION)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(confirm_list)
@@ -231,7 +243,7 @@
             asked = await self._query_peers(query)
         own = self.handle_query(query)
         search = self._summarise(own, asked)._replace(
-            unread=tuple(sorted({'list', 'configuration'} - confirmed))
+            failure=_describe_failure(confirmed, asked.is_isolated)
         )
         sole_version = _find_sole(own, asked.answers)
         is_contradicted = any(
@@ -239,7 +251,7 @@
             for answer in (own, *asked.answers)
             for origin in answer.origins
         )
-        if is_contradicted or search.unread:
+        if is_contradicted or search.failure:
             return search
         return search._replace(sole_version=sole_version)
 
@@ -262,9 +274,12 @@
             answer = await self._client.request(
                 _address(peer), query, _QUERY_TIMEOUT_S
             )
-            if not isinstance(answer, messages.StreamFound):
+            if answer == dispatch_client.TIMEOUT:
                 asked.silent_ids.append(peer.copy.node_id)
                 return
+            if not isinstance(answer, messages.StreamFound):
+                asked.ended_ids.append(peer.copy.node_id)
+                return
             asked.answered_ids.append(peer.copy.node_id)
             asked.answers.append(answer)
             if query.request_id and answer.origins:
@@ -309,9 +324,12 @@
         return kept.origin
 
     def _rank(self, service: str) -> list[peer_table.PeerReport]:
-        """Return the live peers, those that hold origins first."""
+        """Return the live peers, those that hold origins first.
+
+        A node that hears of none asks those that it has heard of lately.
+        """
         return sorted(
-            self._peers.live(),
+            self._peers.live() or self._peers.members(),
             key=lambda peer: rendezvous_hash.weight(
                 f'{service}/streams', peer.copy.node_id
             ),
@@ -323,6 +341,14 @@
     return address_book.PeerAddress(peer.report.host, peer.report.peer_port)
 
 
+def _describe_failure(confirmed: set[str], is_isolated: bool) -> str:
+    """Return why a node cannot tell what another one may know."""
+    unread = sorted({_LIST, _CONFIGURATION} - confirmed)
+    if unread:
+        return f'the store does not answer with its {" and ".join(unread)}'
+    return 'no peer answers' if is_isolated else ''
+
+
 def _find_sole(
     own: messages.StreamFound, others: typing.Sequence[messages.StreamFound]
 ) -> str:
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_search.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_search.py
@@ -22,11 +22,11 @@
     equal_versions : tuple of str
         Versions of streams of equal requests; empty for a process whose
         version is not known.
-    unread : tuple of str
-        What could not be read after the search began, though a conclusion
-        needs it: ``list`` (of servers), ``configuration``.
-    answered_ids, silent_ids : tuple of str
-        Nodes that have answered, and those that have not in time.
+    failure : str
+        Why another node may know more; empty if none does.
+    answered_ids, ended_ids, silent_ids : tuple of str
+        Nodes that have answered, whose connections failed, and that have not
+        answered in time.
     absent_ids : tuple of str
         Nodes that are not asked, since their last reports are too old.
     """
@@ -36,7 +36,8 @@
     own_sole_version: str = ''
     peer_sole_versions: tuple[str, ...] = ()
     equal_versions: tuple[str, ...] = ()
-    unread: tuple[str, ...] = ()
+    failure: str = ''
     answered_ids: tuple[str, ...] = ()
+    ended_ids: tuple[str, ...] = ()
     silent_ids: tuple[str, ...] = ()
     absent_ids: tuple[str, ...] = ()
--- a/tests/common/origin_network.py
+++ b/tests/common/origin_network.py
@@ -3,6 +3,7 @@
 import types
 
 from foxtailrelay_core import messages
+from foxtailrelay_node.internal.relay.dispatch import dispatch_client
 from foxtailrelay_node.internal.relay.peers import origin_transfer
 from foxtailrelay_node.internal.relay.peers import stream_origins
 import trio
@@ -33,6 +34,8 @@
     routes : list
         The nodes' routes; ``is_known_long`` is whether they know where the
         path has led for as long as streams last.
+    are_ended : bool
+        Whether nodes that do not run refuse connections, or are silent.
     reporting : set of int
         Nodes whose reports still reach the others.
     query_count : int
@@ -47,6 +50,7 @@
         self.query_count = 0
         self.lists = [_ServerList() for _ in range(node_count)]
         self.routes = [_Routes() for _ in range(node_count)]
+        self.are_ended = False
         self.start_counts = [0] * node_count
         self.transfers = {}
         self.nodes = [self._build(number) for number in range(node_count)]
@@ -180,7 +184,9 @@
         self._network.query_count += 1
         number = int(address.host)
         if number not in self._network.live:
+            if self._network.are_ended:
+                return 'connection refused'
             await trio.sleep(timeout_s)
-            return 'timeout'
+            return dispatch_client.TIMEOUT
         answer = self._network.nodes[number].handle_query(message)
         return messages.decode(messages.encode(1, answer))[1]
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -301,9 +301,7 @@
 
 @pytest.mark.parametrize('source', ['snapshot', 'peer', 'store'])
 @pytest.mark.parametrize('has_own_id', [False, True])
-def test_stream_of_a_version_that_has_come_and_gone_is_not_joined(
-    source, has_own_id
-):
+def test_stream_of_a_version_that_has_gone_is_not_joined(source, has_own_id):
     """Guards against copies that show only the newest entry of a server."""
 
     @_with_node
@@ -407,7 +405,7 @@
 
 
 @pytest.mark.parametrize('how', ['start', 'snapshot', 'peer'])
-def test_stream_of_a_route_that_was_replaced_unseen_is_not_joined(how):
+def test_stream_of_a_route_that_was_not_read_is_not_joined(how):
     """Guards against nodes that know a route for less time than servers."""
 
     @_with_node
@@ -440,3 +438,28 @@
         assert node.requests == []
 
     play()
+
+
+@pytest.mark.parametrize('node_count', [3, 7, 66])
+@pytest.mark.parametrize('is_reporting', [False, True])
+@pytest.mark.parametrize('fault', ['silent', 'ended', 'one of them is left'])
+def test_isolated_node_names_no_version(node_count, is_reporting, fault):
+    """Guards against joined streams of processes that no list shows."""
+
+    async def main():
+        network = origin_network.OriginNetwork(node_count)
+        network.lists[0].sole = 'v1'
+        network.live = {0}
+        network.are_ended = fault == 'ended'
+        if not is_reporting:
+            network.reporting = {0}
+        if fault == 'one of them is left':
+            peers = network.nodes[0].holders('model')
+            network.live.add(int(peers[0].report.host))
+        for request_id in ('', 'never-sent'):
+            found = await network.find(0, request_id)
+            is_isolated = fault == 'silent'
+            assert found.sole_version == ('' if is_isolated else 'v1')
+            assert bool(found.failure) is is_isolated
+
+    virtual_time.run(main)
--- a/tests/quality/test_stream_mutants.py
+++ b/tests/quality/test_stream_mutants.py
@@ -14,6 +14,7 @@
 from foxtailrelay_node.internal.relay.backends import missing_reports
 from foxtailrelay_node.internal.relay.backends import server_list
 from foxtailrelay_node.internal.relay.backends import unlisted_processes
+from foxtailrelay_node.internal.relay.backends import version_history
 from foxtailrelay_node.internal.relay.catalogue import route_history
 from foxtailrelay_node.internal.relay.http import answer_state
 from foxtailrelay_node.internal.relay.http import answer_writer
@@ -132,6 +133,28 @@
 
 
 _MUTANTS = {
+    'silence of all peers says that they know nothing': (
+        (stream_origins._Asked, 'is_isolated', False),
+        lambda: out_of_step.test_isolated_node_names_no_version(
+            3, True, 'silent'
+        ),
+    ),
+    'a route that was never read has led nowhere': (
+        (route_history.RouteHistory, 'restart', _always(None)),
+        lambda: (
+            out_of_step.test_stream_of_a_route_that_was_not_read_is_not_joined(
+                'snapshot'
+            )
+        ),
+    ),
+    'a version that was never read was not listed': (
+        (version_history.VersionHistory, 'restart', _always(None)),
+        lambda: (
+            out_of_step.test_stream_of_a_version_that_has_gone_is_not_joined(
+                'peer', False
+            )
+        ),
+    ),
     'a list that was read before a take-up names the version': (
         (server_list.ServerList, 'confirm', _confirm_nothing),
         lambda: out_of_step.test_stream_of_an_unread_version_is_not_joined(
