--- a/tests/common/excessive_clients.py
+++ b/tests/common/excessive_clients.py
@@ -33,14 +33,15 @@
         What is sent again and again after it.
     count : int
         How often.
-    prefix : bytes
-        What is sent once before the parts.
+    prefix, suffix : bytes
+        What is sent once before and after the parts.
     """
 
     header: bytes | None
     part: bytes
     count: int
     prefix: bytes = b''
+    suffix: bytes = b''
 
     @classmethod
     def endless(cls, header: bytes, part: bytes, prefix: bytes = b''):
@@ -54,6 +55,8 @@
         end = b'\r\n\r\n' if self.header else b''
         yield head + self.header + end + self.prefix
         yield from itertools.repeat(self.part, self.count)
+        if self.suffix:
+            yield self.suffix
 
 
 TRAFFIC_BY_NAME = {
@@ -74,6 +77,38 @@
     ),
 }
 SILENT = Traffic(None, b'', 0)
+_STOPPING_BYTES = 3 << 20
+_PART = bytes(1 << 15)
+_CHUNK = b'8000\r\n%b\r\n' % _PART
+_PART_COUNT = _STOPPING_BYTES // len(_PART)
+_LENGTH = b'Content-Length: %d' % _STOPPING_BYTES
+
+
+def _stop_in_chunks(suffix: bytes) -> Traffic:
+    return Traffic(_CHUNKED, _CHUNK, _PART_COUNT, suffix=suffix)
+
+
+def _stop_in_content(header: bytes, prefix: bytes = b'') -> Traffic:
+    return Traffic(
+        header, _PART, _PART_COUNT - 1, prefix, suffix=bytes(len(_PART) - 1)
+    )
+
+
+# Bodies within the limits that stop just before their end.
+STOPPING_BY_NAME = {
+    'a length': _stop_in_content(_LENGTH),
+    'a length, and no wait for 100': _stop_in_content(
+        b'Expect: 100-continue\r\n' + _LENGTH
+    ),
+    'one chunk': _stop_in_content(_CHUNKED, b'%x\r\n' % _STOPPING_BYTES),
+    'a chunk header': _stop_in_chunks(b'8000\r'),
+    'the last chunk': _stop_in_chunks(b''),
+    'the last line end': _stop_in_chunks(b'0\r\n\r'),
+    'a trailer': _stop_in_chunks(b'0\r\nX-More: 1\r\n'),
+    'one-byte chunks': TRAFFIC_BY_NAME['one-byte chunks']._replace(
+        suffix=b'0\r\n'
+    ),
+}
 
 
 class Usage:
@@ -93,12 +128,16 @@
         """Count open descriptors until cancelled or the process ends."""
         while True:
             try:
-                count = len(os.listdir(self._folder / 'fd'))
+                count = self.count_descriptors()
             except OSError:
                 return
             self.descriptors = max(self.descriptors, count)
             await trio.sleep(_SAMPLE_INTERVAL_S)
 
+    def count_descriptors(self) -> int:
+        """Return the number of open descriptors."""
+        return len(os.listdir(self._folder / 'fd'))
+
     def peak_bytes(self) -> int:
         """Return the peak of the resident memory."""
         for line in (self._folder / 'status').read_text().splitlines():
@@ -120,22 +159,29 @@
         Host and port.
     head : bytes
         Lines of the head, without the headers that frame the body.
-    traffic : Traffic
-        What each client sends.
+    traffic : Traffic or tuple of Traffic
+        What each client sends; the clients take turns in several.
     count : int, optional
         How many clients there are.
+    first_request : bytes, optional
+        A whole request that each client sends first, and whose answer it
+        waits for.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
         head: bytes,
-        traffic: Traffic,
+        traffic: Traffic | tuple[Traffic, ...],
         count: int = CLIENT_COUNT,
+        first_request: bytes = b'',
     ) -> None:
         self._address = address
         self._head = head
-        self._traffic = traffic
+        self._first_request = first_request
+        self._traffics = (
+            (traffic,) if isinstance(traffic, Traffic) else traffic
+        )
         self._waiting_for = {'begun': count, 'ended': count}
         self._count = count
 
@@ -150,8 +196,9 @@
             Makes an ordinary request, and returns its status.
         """
         async with trio.open_nursery() as nursery:
-            for _ in range(self._count):
-                nursery.start_soon(self._run)
+            traffics = itertools.cycle(self._traffics)
+            for traffic in itertools.islice(traffics, self._count):
+                nursery.start_soon(self._run, traffic)
             await self._wait('begun')
             await _call_until_served(call)
             await self._wait('ended')
@@ -163,12 +210,15 @@
             while self._waiting_for[state]:
                 await trio.sleep(_SAMPLE_INTERVAL_S)
 
-    async def _run(self) -> None:
+    async def _run(self, traffic: Traffic) -> None:
         has_begun = False
         try:
             async with await trio.open_tcp_stream(*self._address) as stream:
                 sent = 0
-                for part in self._traffic.parts(self._head):
+                if self._first_request:
+                    await stream.send_all(self._first_request)
+                    await stream.receive_some()
+                for part in traffic.parts(self._head):
                     for start in range(0, len(part), _BEGUN_BYTES):
                         data = part[start : start + _BEGUN_BYTES]
                         await stream.send_all(data)
