Keep nothing of a request that is refused

What callers saw: a crowd of connections could end the process. The bytes that a connection had read when there was no room for them stayed with it while it was refused and lingered, though its lease was closed: up to 64 KiB each, which the budget does not count (843 of 1,300 connections in a probe held 65,536 bytes with a lease of 0).

The buffer is cleared and the lease released before any refusal is sent.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/caller_connection.py
@@ -243,6 +243,8 @@
         self._has_answered = True
         if isinstance(request, refusals.Refused):
             self._answer.closes_connection = True
+            # Nothing is kept for a caller that sends on, or does not read.
+            self._reader.close()
             await self._handler.refuse(request, self)
             await self._linger()
             return False
@@ -352,11 +354,7 @@
                 self._has_answered = True
                 return None
             await self._answer.send_continue()
-        received = await self._receive_rest(without_body, limits)
-        if isinstance(received, refusals.Refused):
-            # The body is not kept while the refusal is sent.
-            self._reader.close()
-        return received
+        return await self._receive_rest(without_body, limits)
 
     async def _receive_rest(
         self,
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/request_reader.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/request_reader.py
@@ -97,7 +97,8 @@
         self.http = _new_http(header_bytes)
 
     def close(self) -> None:
-        """Release the memory of the requests."""
+        """Release the memory of the requests; no further one is read."""
+        self._read_ahead.clear()
         self._lease.close()
 
     def start_request(self, header_bytes: int) -> None:
@@ -230,7 +231,7 @@
             room := _MAX_READ_AHEAD_BYTES - buffered - len(self._read_ahead)
         ) > 0:
             try:
-                data = await self._stream.receive_some(room)
+                data = await self._stream.receive_some(min(room, _READ_BYTES))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if not data:
--- a/tests/cover/relay/test_request_memory.py
+++ b/tests/cover/relay/test_request_memory.py
@@ -273,3 +273,30 @@
     response = await caller.receive()
     assert relay_rig.status_code(response) == 503
     assert b'Retry-After: 2' in response
+
+
+@pytest.mark.parametrize('length', [b'100000', b'1073741824'])
+def test_nothing_is_kept_of_a_request_that_is_refused(length):
+    """Guards against connections that keep what there was no room for."""
+
+    @_with_small_budget
+    async def play(rig):
+        owner = rig.memory.open_lease(purposes.Purpose.REQUEST, 'other')
+        while owner.try_hold(1000):
+            pass
+        callers = []
+        for number in range(40):
+            caller, connection = rig.connect_with_connection()
+            head = _head(f'r{number}', f'Content-Length: {length.decode()}')
+            await caller.stream.send_all(head + bytes(50_000))
+            callers.append((caller, connection))
+        # Less than refused connections linger.
+        await trio.sleep(0.5)
+        owner.close()
+        for caller, connection in callers:
+            status = relay_rig.status_code(await caller.receive())
+            assert status in (413, 503)
+            assert not connection._reader._read_ahead
+        assert _held_bytes(rig) == 0
+
+    play()
