Bound callers' connections of foxtailrelayd

What callers saw: 900 connections with bodies far over the limit took 343 MB of 150, with bodies that stop one byte short 263 MB, with one-byte chunks 163 MB: a process with this memory is ended.

Cause: Hypercorn bounds neither connections nor what it holds of each: it reads 64 KiB at a time and ten parts ahead of the application, so the memory grows with the number of connections, beside the budget.

Change: CallerListener serves the connections with Hypercorn's TCPServer, as many as have 128 KiB each beside the budget (4,531 at the default of 1 GiB), and within the open files. Beyond that it closes the one that has made no progress for the longest time, never one whose complete request is being answered, and the new one if there is no other.

--- a/packages/node/src/foxtailrelay_node/internal/memory/memory_budget.py
+++ b/packages/node/src/foxtailrelay_node/internal/memory/memory_budget.py
@@ -10,6 +10,9 @@
 # The rest is for copies that libraries make, and for buffers of the kernel.
 _BUDGET_SHARE = 0.4
 _MIN_BUDGET_BYTES = 12 << 20
+# What a library holds of a connection's bytes, and its objects.
+_CONNECTION_BYTES = 128 << 10
+_MIN_CONNECTIONS = 16
 _SHARE_BY_PURPOSE = {
     purposes.Purpose.REQUEST: 0.25,
     purposes.Purpose.ANSWER: 0.3,
@@ -61,6 +64,18 @@
             )
         )
 
+    @staticmethod
+    def count_connections(memory_bytes: float) -> int:
+        """Return for how many connections there is memory beside a budget.
+
+        Parameters
+        ----------
+        memory_bytes : float
+            The limit of the process.
+        """
+        rest_bytes = (memory_bytes - _PROCESS_BYTES) * (1 - _BUDGET_SHARE)
+        return max(_MIN_CONNECTIONS, int(rest_bytes / _CONNECTION_BYTES))
+
     def open_lease(
         self, purpose: purposes.Purpose, owner: str
     ) -> memory_lease.MemoryLease:
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/caller_pressure.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/caller_pressure.py
@@ -80,6 +80,10 @@
             'memory', _MIN_STALL_S, lambda request: request.held_bytes() > 0
         )
 
+    def relieve_connections(self) -> bool:
+        """Drop the incomplete request that has stalled for longest."""
+        return self._drop('connections', 0.0, None)
+
     def relieve_descriptors(self, connection_count: int) -> None:
         """Drop incomplete requests if descriptors run short.
 
--- a/packages/node/src/foxtailrelay_node/internal/server.py
+++ b/packages/node/src/foxtailrelay_node/internal/server.py
@@ -4,15 +4,18 @@
 
 from foxtailrelay_core import settings as settings_module
 from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
 import logbook
 import trio
 
+from foxtailrelay_node.internal.callers import caller_listener
+from foxtailrelay_node.internal.memory import memory_budget
 from foxtailrelay_node.internal import node as nodes
 
 _LOG = logbook.Logger('foxtailrelay.server')
 _KEEP_ALIVE_TIMEOUT_S = 5.0
 _HTTP_SHUTDOWN_TIMEOUT_S = 1.0
+# Parts of a body that Hypercorn reads ahead of the application.
+_QUEUED_PARTS = 1
 
 
 async def serve(settings: settings_module.NodeSettings) -> int:
@@ -54,18 +57,25 @@
     """Serve callers until the node has stopped and connections are closed."""
     settings = node.settings
     config = hypercorn_config.Config()
-    config.bind = [f'{settings.node.host}:{settings.node.caller_port}']
     config.loglevel = 'WARNING'
     config.include_server_header = False
     config.h11_max_incomplete_size = settings.limits.header_bytes
     config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
     config.graceful_timeout = _HTTP_SHUTDOWN_TIMEOUT_S
-    await hypercorn_trio.serve(
+    config.max_app_queue_size = _QUEUED_PARTS
+    listeners = await trio.open_tcp_listeners(
+        settings.node.caller_port,
+        host=settings.node.host,
+        backlog=config.backlog,
+    )
+    listener = caller_listener.CallerListener(
         node.build_app(),
         config,
-        shutdown_trigger=node.stopped.wait,
-        mode='asgi',
+        memory_budget.MemoryBudget.count_connections(
+            settings.limits.memory_bytes
+        ),
     )
+    await listener.serve(listeners, node.stopped)
     closed.set()
 
 
--- a/tests/cover/test_excessive_clients_of_foxtailrelayd.py
+++ b/tests/cover/test_excessive_clients_of_foxtailrelayd.py
@@ -12,7 +12,6 @@
 from common import scripted_server
 
 _MEMORY_BYTES = 150_000_000
-_SETTINGS = {'limits': {'memory_bytes': _MEMORY_BYTES}}
 _STATEMENTS = """
     CREATE SERVICE clips WITH (kind = plain);
     CREATE ORGANISATION guest WITH (token = 'guest.walk-in');
@@ -23,7 +22,7 @@
         port = {port}, zone = a);
 """
 _PATH = '/services/clips/a'
-_HEAD = (
+HEAD = (
     f'POST {_PATH} HTTP/1.1\r\nHost: a\r\n'
     'Authorization: Bearer guest.walk-in\r\n'
 ).encode()
@@ -65,10 +64,19 @@
     assert all(r['kind'] == 'done' for r in results), results
 
 
-def _play_against_node(tmp_path, traffic, count):
+def play_against_node(
+    tmp_path,
+    traffic,
+    count,
+    first_request=b'',
+    memory_bytes=_MEMORY_BYTES,
+    descriptors=_DESCRIPTOR_LIMIT,
+    max_descriptors=_MAX_DESCRIPTORS,
+):
     """Run a crowd against a node with its memory and descriptor limits."""
+    settings = {'limits': {'memory_bytes': memory_bytes}}
     with (
-        local.LocalCluster(tmp_path, _SETTINGS) as cluster,
+        local.LocalCluster(tmp_path, settings) as cluster,
         scripted_server.ScriptedServer(_serve_sound) as sound,
     ):
         cluster.start_standin('log', 'log')
@@ -81,11 +89,11 @@
         resource.prlimit(
             process.pid,
             resource.RLIMIT_NOFILE,
-            (_DESCRIPTOR_LIMIT, _DESCRIPTOR_LIMIT),
+            (descriptors, descriptors),
         )
         usage = excessive_clients.Usage(process.pid)
         crowd = excessive_clients.Crowd(
-            (local.HOST, node.caller_port), _HEAD, traffic, count
+            (local.HOST, node.caller_port), HEAD, traffic, count, first_request
         )
 
         async def main():
@@ -99,14 +107,14 @@
         finally:
             print(usage)
         assert process.exit_status is None
-        assert usage.peak_bytes() < _MEMORY_BYTES
-        assert usage.descriptors < _MAX_DESCRIPTORS
+        assert usage.peak_bytes() < memory_bytes
+        assert usage.descriptors < max_descriptors
 
 
 @pytest.mark.parametrize('name', excessive_clients.TRAFFIC_BY_NAME)
 def test_clients_that_exceed_the_limits_do_not_harm_a_node(name, tmp_path):
     """Guards against a node that runs out of memory, or serves nobody."""
-    _play_against_node(
+    play_against_node(
         tmp_path,
         excessive_clients.TRAFFIC_BY_NAME[name],
         excessive_clients.CLIENT_COUNT,
@@ -115,4 +123,4 @@
 
 def test_silent_connections_do_not_take_all_descriptors(tmp_path):
     """Guards against a node that can open no connection to a server."""
-    _play_against_node(tmp_path, excessive_clients.SILENT, _SILENT_COUNT)
+    play_against_node(tmp_path, excessive_clients.SILENT, _SILENT_COUNT)
