--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/stream_origins.py
@@ -156,7 +156,7 @@
 
     def holders(self, service: str) -> list[peer_table.PeerReport]:
         """Return the peers that hold the origins of a service's streams."""
-        return self._rank(service)[:_HOLDER_COUNT]
+        return _rank(service, self._peers.live())[:_HOLDER_COUNT]
 
     def handle_query(
         self, query: messages.StreamQuery
@@ -263,7 +263,9 @@
         return asked.summarise(own, member_ids - live_ids)
 
     async def _query_peers(self, query: messages.StreamQuery) -> _Asked:
-        peers = self._rank(query.service)
+        # A node that hears of no peer asks those that it has heard of lately.
+        known = self._peers.live() or self._peers.members()
+        peers = _rank(query.service, known)
         # In a small cluster all peers are queried: the node that relayed the
         # stream may have lost only its caller.
         if not gossip_params.is_full_mesh(len(peers)):
@@ -323,18 +325,18 @@
             return None
         return kept.origin
 
-    def _rank(self, service: str) -> list[peer_table.PeerReport]:
-        """Return the live peers, those that hold origins first.
 
-        A node that hears of none asks those that it has heard of lately.
-        """
-        return sorted(
-            self._peers.live() or self._peers.members(),
-            key=lambda peer: rendezvous_hash.weight(
-                f'{service}/streams', peer.copy.node_id
-            ),
-            reverse=True,
-        )
+def _rank(
+    service: str, peers: list[peer_table.PeerReport]
+) -> list[peer_table.PeerReport]:
+    """Return peers, those that hold origins of a service first."""
+    return sorted(
+        peers,
+        key=lambda peer: rendezvous_hash.weight(
+            f'{service}/streams', peer.copy.node_id
+        ),
+        reverse=True,
+    )
 
 
 def _address(peer: peer_table.PeerReport) -> address_book.PeerAddress:
--- a/tests/cover/relay/test_out_of_step_lists.py
+++ b/tests/cover/relay/test_out_of_step_lists.py
@@ -448,14 +448,14 @@
 
     async def main():
         network = origin_network.OriginNetwork(node_count)
+        holder = network.nodes[0].holders('model')[0]
         network.lists[0].sole = 'v1'
         network.live = {0}
         network.are_ended = fault == 'ended'
         if not is_reporting:
             network.reporting = {0}
         if fault == 'one of them is left':
-            peers = network.nodes[0].holders('model')
-            network.live.add(int(peers[0].report.host))
+            network.live.add(int(holder.report.host))
         for request_id in ('', 'never-sent'):
             found = await network.find(0, request_id)
             is_isolated = fault == 'silent'
