--- a/packages/node/src/foxtailrelay_node/internal/relay/http/request_reader.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/request_reader.py
@@ -17,8 +17,8 @@
 from foxtailrelay_node.internal.relay.http import sockets
 
 _LOG = logbook.Logger('foxtailrelay.callers')
-# What was read is not held until the scheduler's next pass; all connections
-# with input have this much then.
+# trio returns what it has read after a pass of the scheduler, so that each
+# connection with input has this much outside the memory budget.
 _READ_BYTES = 16384
 # Limit of bytes read ahead while a request is being answered; any more stay
 # in the socket, and a close by the caller is then detected later.
