--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,15 +1,13 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/11 to 15 start.  They are
+# Builds the stand-ins that the scripts of review/11 and 12 start.  They are
 # Python of the standard library, in review/ only: that they compile, and that
 # the build of the deploy file is there, is all that there is to do.
 set -e
 cd "$(dirname "$0")/.."
 python3 -c '
-import pathlib, sys
+import pathlib
 for path in sorted(pathlib.Path("review").glob("*/*.py")):
-    if path.parts[1] == "common-3" or path.parts[1] in (
-        "11", "12", "13", "14", "15"
-    ):
+    if path.parts[1] in ("common", "common-3", "11", "12"):
         compile(path.read_text(encoding="utf-8"), str(path), "exec")
         print("compiled", path)
 '
