Tell a reset of the server over another node

Cause: Linux reports a reset once, to the first call that fails. Where that was TunnelServer's send, it was dropped, and the receive that followed ended in order, which was told as END_OF_STREAM.

Change: EndTracker sees all sends of a connection, and judges its end with what receiving shows. If the connection has ceased to exist and a send is pending, it waits for that send, which may hold the only report. EPIPE follows an orderly end, all else is a reset. Direct connections use it too: there, an end could be judged before a pending send had failed, and whole failures without a length were lost if later data met a reset. The end over a tunnel tells how many bytes the server has received, so that a success which ended before its request was received counts as early there as well. Nodes of earlier releases get an end that they know.

Why it works: whichever task is told of the reset, the end is judged after both have reported. This no longer depends on their order.

--- a/packages/core/src/foxtailrelay_core/internal/peer.capnp
+++ b/packages/core/src/foxtailrelay_core/internal/peer.capnp
@@ -306,6 +306,7 @@
   server @0 :Text;
   startedMs @1 :UInt64;
   isCheck @2 :Bool;
+  readsCounts @3 :Bool;
 }
 
 struct TunnelAnswer {
--- a/packages/core/src/foxtailrelay_core/internal/tunnel_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/tunnel_messages.py
@@ -17,11 +17,15 @@
     is_check : bool
         Whether only to find out if the server has ended; the connection then
         stays one for messages.
+    reads_counts : bool
+        Whether the end of the server's stream may be told together with how
+        many bytes the server has received.
     """
 
     server: str
     started_ms: int
     is_check: bool = False
+    reads_counts: bool = False
 
 
 class TunnelState(enum.IntEnum):
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -8,6 +8,7 @@
 
 from foxtailrelay_node.internal.relay.http import answer_trace
 from foxtailrelay_node.internal.relay.http import bulk_turns
+from foxtailrelay_node.internal.relay.http import connection_end
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay.http import request_state
 from foxtailrelay_node.internal.relay.http import sockets
@@ -66,7 +67,7 @@
         Whether the listed instance has shown that it is at the other end.
     is_early : bool
         Whether the current answer, without a length, began before the server
-        had received its whole request.
+        had received its whole request, or ended before that.
     trace : AnswerTrace
         What was received of the current answer, for the log.
     """
@@ -77,6 +78,7 @@
         turns: bulk_turns.BulkTurns | None = None,
     ) -> None:
         self._stream = stream
+        self._tracker = connection_end.EndTracker(stream)
         self._turns = turns or bulk_turns.BulkTurns()
         self._events_left = _EVENTS_PER_TURN
         self._http = _new_http()
@@ -87,7 +89,6 @@
         self._is_head_request = False
         self._state = request_state.RequestState()
         self._has_received_end = False
-        self._has_lost_write = False
         self._is_closed = False
 
     @property
@@ -192,9 +193,8 @@
         """
         try:
             for part in parts:
-                await self._stream.send_all(part)
+                await self._tracker.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            self._has_lost_write = True
             self._state.fail(f'cannot send: {error}')
             raise BackendDisconnected(f'cannot send: {error}') from error
         except BaseException:
@@ -315,13 +315,8 @@
                     data = await self._stream.receive_some(_READ_BYTES)
                     self.trace.record_bytes(data)
                     self._has_received_end = not data
-                    if not data and self._has_lost_write:
-                        # A reset is told once: to the write, and the read
-                        # then looks like an orderly close.
-                        self.trace.record_reset()
-                        raise BackendDisconnected(
-                            'connection lost while the request was written'
-                        )
+                    if not data:
+                        await self._check_end()
                     is_full = len(data) == _READ_BYTES
                     self._events_left = 0 if is_full else _EVENTS_PER_TURN
                     self._http.receive_data(data)
@@ -340,6 +335,22 @@
             self._state.fail(f'connection lost: {error}')
             raise BackendDisconnected(f'connection lost: {error}') from error
 
+    async def _check_end(self) -> None:
+        """Find out how the connection ended, after the end of its stream."""
+        end = await self._tracker.find_end()
+        if isinstance(self._stream, tunnel_stream.TunnelStream):
+            # A send that failed shows nothing of the server's connection.
+            end = connection_end.ConnectionEnd.CLOSED
+            if self._stream.has_unreceived:
+                end = connection_end.ConnectionEnd.CLOSED_EARLY
+        if end is connection_end.ConnectionEnd.RESET:
+            self.trace.record_reset()
+            raise BackendDisconnected(
+                'connection lost while the request was written'
+            )
+        if end is connection_end.ConnectionEnd.CLOSED_EARLY:
+            self.is_early |= self.is_close_delimited
+
 
 def _find_framing(response: h11.Response) -> Framing:
     names = {name for name, _ in response.headers}
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/sockets.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/sockets.py
@@ -23,6 +23,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 LISTEN_BACKLOG = 1024
+# Of the state that is the first byte of Linux's TCP_INFO.
+_TCP_CLOSE = 7
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -140,6 +142,22 @@
     return count[0]
 
 
+def is_disconnected(stream: trio.abc.Stream) -> bool:
+    """Whether a connection that was not closed here has ceased to exist.
+
+    It was reset, or timed out; also if that followed an orderly end of the
+    remote side.  False for a stream that is no socket, or if the system does
+    not tell.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    try:
+        info = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except (OSError, trio.ClosedResourceError):
+        return False
+    return info[0] == _TCP_CLOSE
+
+
 async def listen(host: str, port: int) -> trio.SocketListener:
     """Open a listener on an IP address."""
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/peers/exchange_server.py
@@ -1,5 +1,8 @@
 """The server side of gossip connections between nodes."""
 
+import functools
+import typing
+
 from foxtailrelay_core import messages
 import logbook
 import trio
@@ -110,9 +113,10 @@
                         answer, server = await self._tunnels.open(message)
                         if server is not None:
                             lease.close()
-                            await self._carry(
-                                stream, frames, message_id, answer, server
+                            confirm = functools.partial(
+                                frames.send, message_id, answer
                             )
+                            await self._carry(message, confirm, stream, server)
                             return
                     case _:
                         reason = f'{type(message).__name__} is no request'
@@ -153,17 +157,16 @@
 
     async def _carry(
         self,
+        request: messages.TunnelOpen,
+        confirm: typing.Callable[[], typing.Awaitable[None]],
         stream: trio.SocketStream,
-        frames: messages.FrameStream,
-        message_id: int,
-        answer: messages.TunnelAnswer,
         server: trio.abc.Stream,
     ) -> None:
         """Confirm a tunnel and pass its bytes on until it ends."""
         try:
             sockets.set_options(stream)
-            await frames.send(message_id, answer)
-            await self._tunnels.carry(stream, server)
+            await confirm()
+            await self._tunnels.carry(request, stream, server)
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(server)
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_client.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_client.py
@@ -148,7 +148,7 @@
                 stream = await self._dialer.connect(peer.host, peer.port)
                 frames = messages.FrameStream(stream, self.traffic)
                 request = messages.TunnelOpen(
-                    server.id, server.started_ms, is_check
+                    server.id, server.started_ms, is_check, reads_counts=True
                 )
                 await frames.send(1, request)
                 _, answer = await frames.receive()
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_server.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_server.py
@@ -1,11 +1,14 @@
 """Carries other nodes' connections to backend servers."""
 
+import contextlib
+
 from foxtailrelay_core import messages
 import logbook
 import trio
 
 from foxtailrelay_node.internal.relay.backends import backend_server
 from foxtailrelay_node.internal.relay.backends import server_list
+from foxtailrelay_node.internal.relay.http import connection_end
 from foxtailrelay_node.internal.relay.tunnels import server_links
 from foxtailrelay_node.internal.relay.tunnels import tunnel_stream
 
@@ -66,14 +69,18 @@
         return messages.TunnelAnswer(_State.OPENED), stream
 
     async def carry(
-        self, near: trio.abc.Stream, server: trio.abc.Stream
+        self,
+        request: messages.TunnelOpen,
+        near: trio.abc.Stream,
+        server: trio.abc.Stream,
     ) -> None:
         """Pass bytes on until either connection ends; close both."""
         self.open_count += 1
+        tunnel = _Tunnel(request, near, server)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_send_to_server, near, server, nursery)
-                await _send_to_node(server, near)
+                nursery.start_soon(tunnel.send_to_server, nursery)
+                await tunnel.send_to_node()
                 await trio.sleep(_CLOSE_TIMEOUT_S)
                 nursery.cancel_scope.cancel()
         finally:
@@ -125,38 +132,72 @@
         return messages.TunnelAnswer(_State.UNREACHABLE, failure.reason)
 
 
-async def _send_to_server(
-    near: trio.abc.Stream, server: trio.abc.Stream, nursery: trio.Nursery
-) -> None:
-    """Pass bytes on; end the tunnel when the node closes its connection."""
-    is_sending = True
-    try:
-        while data := await near.receive_some(tunnel_stream.MAX_BLOCK_BYTES):
-            if is_sending:
-                try:
-                    await server.send_all(data)
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    # The server may have answered before it read everything.
-                    is_sending = False
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        pass
-    nursery.cancel_scope.cancel()
-
-
-async def _send_to_node(
-    server: trio.abc.Stream, near: trio.abc.Stream
-) -> None:
-    """Pass the server's bytes on as blocks, and then how they ended."""
-    end = tunnel_stream.END_OF_STREAM
-    try:
+class _Tunnel:
+    """The two connections of a tunnel."""
+
+    def __init__(
+        self,
+        request: messages.TunnelOpen,
+        near: trio.abc.Stream,
+        server: trio.abc.Stream,
+    ) -> None:
+        self._request = request
+        self._near = near
+        self._server = server
+        self._tracker = connection_end.EndTracker(server)
+
+    async def send_to_server(self, nursery: trio.Nursery) -> None:
+        """Pass bytes on; end the tunnel when the node closes it."""
         try:
-            while data := await server.receive_some(
+            while data := await self._near.receive_some(
                 tunnel_stream.MAX_BLOCK_BYTES
             ):
-                header = tunnel_stream.HEADER.pack(len(data))
-                await near.send_all(header + data)
+                if not self._tracker.send_failure:
+                    # The server may have answered before it read everything.
+                    with contextlib.suppress(
+                        trio.BrokenResourceError, trio.ClosedResourceError
+                    ):
+                        await self._tracker.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            end = tunnel_stream.SERVER_RESET
-        await near.send_all(tunnel_stream.HEADER.pack(end))
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return
+            pass
+        nursery.cancel_scope.cancel()
+
+    async def send_to_node(self) -> None:
+        """Pass the server's bytes on as blocks, and then how they ended."""
+        try:
+            try:
+                while data := await self._server.receive_some(
+                    tunnel_stream.MAX_BLOCK_BYTES
+                ):
+                    header = tunnel_stream.HEADER.pack(len(data))
+                    await self._near.send_all(header + data)
+                end = await self._tracker.find_end()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                end = connection_end.ConnectionEnd.RESET
+            self._log_end(end)
+            await self._near.send_all(self._encode_end(end))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    def _encode_end(self, end: connection_end.ConnectionEnd) -> bytes:
+        if end is not connection_end.ConnectionEnd.RESET:
+            if self._request.reads_counts:
+                return tunnel_stream.encode_end(self._tracker.received_bytes)
+            if end is connection_end.ConnectionEnd.CLOSED:
+                return tunnel_stream.HEADER.pack(tunnel_stream.END_OF_STREAM)
+        # Nodes of earlier releases know no other end that is not whole.
+        return tunnel_stream.HEADER.pack(tunnel_stream.SERVER_RESET)
+
+    def _log_end(self, end: connection_end.ConnectionEnd) -> None:
+        if end is connection_end.ConnectionEnd.CLOSED:
+            return
+        _LOG.info(
+            'tunnel-server-ended',
+            extra={
+                'server': self._request.server,
+                'end': end.value,
+                'send_failure': self._tracker.send_failure,
+                'sent_bytes': self._tracker.sent_bytes,
+                'received_bytes': self._tracker.received_bytes,
+            },
+        )
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_stream.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_stream.py
@@ -8,12 +8,27 @@
 from foxtailrelay_node.internal.relay.http import sockets
 
 HEADER = struct.Struct('>I')
+COUNT = struct.Struct('>Q')
 # Block lengths with a meaning of their own.
 END_OF_STREAM = 0
 SERVER_RESET = 0xFFFF_FFFF
+# An end of the stream; a count follows of the bytes that the server received.
+END_WITH_COUNT = 0xFFFF_FFFE
+_END_WITH_COUNT_HEADER = HEADER.pack(END_WITH_COUNT)
 MAX_BLOCK_BYTES = 65536
 
 
+def encode_end(received_bytes: int) -> bytes:
+    """Encode an end of the server's stream.
+
+    Parameters
+    ----------
+    received_bytes : int
+        How many bytes the server has received through the tunnel.
+    """
+    return _END_WITH_COUNT_HEADER + COUNT.pack(received_bytes)
+
+
 class TunnelStream(inspectable_stream.InspectableStream):
     """Carries bytes to and from a backend server through a peer.
 
@@ -35,6 +50,9 @@
         Name of the peer.
     is_hop_lost : bool
         Whether the connection to the peer failed.
+    has_unreceived : bool
+        Whether the server ended its stream before it had received all that
+        was sent.
     """
 
     def __init__(
@@ -42,6 +60,8 @@
     ) -> None:
         self.node_id = node_id
         self.is_hop_lost = False
+        self.has_unreceived = False
+        self._sent_bytes = 0
         self._stream = stream
         self._buffered = buffered
         self._header = b''
@@ -59,6 +79,7 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes to the server."""
+        self._sent_bytes += len(data)
         try:
             await self._stream.send_all(data)
         except trio.BrokenResourceError:
@@ -81,9 +102,9 @@
             return b''
         while not self._block_left:
             self._header += await self._receive(
-                HEADER.size - len(self._header)
+                self._header_size - len(self._header)
             )
-            if len(self._header) == HEADER.size:
+            if len(self._header) == self._header_size:
                 self._start_block()
                 if self._has_ended:
                     return b''
@@ -92,11 +113,21 @@
         self._block_left -= len(data)
         return data
 
+    @property
+    def _header_size(self) -> int:
+        if self._header.startswith(_END_WITH_COUNT_HEADER):
+            return HEADER.size + COUNT.size
+        return HEADER.size
+
     def _start_block(self) -> None:
-        (length,) = HEADER.unpack(self._header)
-        self._header = b''
+        header, self._header = self._header, b''
+        (length,) = HEADER.unpack_from(header)
         if length == END_OF_STREAM:
             self._has_ended = True
+        elif length == END_WITH_COUNT:
+            (received_bytes,) = COUNT.unpack_from(header, HEADER.size)
+            self.has_unreceived = received_bytes < self._sent_bytes
+            self._has_ended = True
         elif length == SERVER_RESET:
             raise trio.BrokenResourceError('reset by the server')
         elif length > MAX_BLOCK_BYTES:
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -35,6 +35,7 @@
 from foxtailrelay_node.internal.relay.http import backend_connection
 from foxtailrelay_node.internal.relay.http import caller_connection
 from foxtailrelay_node.internal.relay.http import chunk_decoder
+from foxtailrelay_node.internal.relay.http import connection_end
 from foxtailrelay_node.internal.relay.http import joined_heads
 from foxtailrelay_node.internal.relay.http import request_reader
 from foxtailrelay_node.internal.relay import node_state
@@ -243,8 +244,8 @@
     ),
     'the end after a lost write is an orderly one': (
         lambda patch: patch.setattr(
-            backend_connection.BackendConnection,
-            '_has_lost_write',
+            connection_end.EndTracker,
+            '_is_reset',
             property(_always(False), _always(None)),
             raising=False,
         ),
