Drop lapsed servers two seconds after the store's return

Besides, a node took too much for an outage: a call that failed by its timeout counted from that moment on though peers had read the store since it was made, and so did a single lost call.

The acknowledgement at 21.24 s is heard at 21.46 (front-3) and 21.34 (front-4); both drop the server 2.02 and 2.04 s after that, and the last request arrives 0.203 s too late. front-4 takes a call that failed by its timeout for a second outage, 0.45 s after the store's return.

Change: lapsed entries go two seconds after the end of the outage, whenever they were removed. A failed call is no outage if the topic was read since it was made, here or by a peer, nor is one that is shorter than a heartbeat interval of the servers, in which no entry can lapse. The end of an outage that peers show is the moment as of which they do. store-lost and store-regained log these times.

Why it works: the removal no longer starts a time of its own, and a node whose peers read the store knows that a removal is one.

--- a/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/assembly/cluster_view.py
@@ -67,7 +67,7 @@
         clock: clocks.Clock,
     ) -> None:
         self._clock = clock
-        health = store_health.StoreHealth(clock)
+        health = store_health.StoreHealth(clock, settings.server_heartbeat_s)
         self.time = corrected_clock.CorrectedClock(clock)
         self.state = node_state.NodeState(
             ports.configuration_decoder, clock, settings.key_validity_s
--- a/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/backends/server_list.py
@@ -50,9 +50,9 @@
 class ServerList(topic_follower.TopicListener):
     """Backend servers by id.
 
-    An entry that disappears during a store outage may have lapsed only
-    because its server could not renew it.  It is kept for
-    ``LAPSED_RETENTION_S`` after the outage or the lapse, if that is later.
+    An entry that disappears during a store outage, or soon after it, may have
+    lapsed only because its server could not renew it.  It is kept until
+    ``LAPSED_RETENTION_S`` after the outage.
 
     Parameters
     ----------
@@ -92,7 +92,7 @@
         self.brittleness = server_limits.ServerLimits(clock, 'server-brittle')
         self._bound_by_service: dict[str, _KeptBound] = {}
         self._server_by_id: dict[str, backend_server.BackendServer] = {}
-        self._lapsed_at_s_by_id: dict[str, float] = {}
+        self._lapsed_ids: set[str] = set()
         self.follower: topic_follower.TopicFollower | None = None
         self._rejections = rejection_log.RejectionLog(clock)
         self._versions = version_history.VersionHistory()
@@ -341,7 +341,7 @@
             self._reject(record.key, decoded)
             return
         self._rejections.forget(record.key)
-        self._lapsed_at_s_by_id.pop(record.key, None)
+        self._lapsed_ids.discard(record.key)
         if decoded.is_draining:
             self._draining_keys[decoded.instance_key] = None
             if len(self._draining_keys) > _MAX_DRAINING_KEYS:
@@ -377,7 +377,7 @@
                 },
             )
         known = self._server_by_id.pop(server_id, None)
-        self._lapsed_at_s_by_id.pop(server_id, None)
+        self._lapsed_ids.discard(server_id)
         if known is not None:
             self._versions.record(
                 known.service, known.version, self._clock.boot_s()
@@ -391,10 +391,8 @@
         now_s = self._clock.boot_s()
         self._versions.record(known.service, known.version, now_s)
         outage_age_s = now_s - self._health.last_outage_s
-        if not known.is_draining and (
-            self._health.is_failing or outage_age_s < LAPSED_RETENTION_S
-        ):
-            self._lapsed_at_s_by_id.setdefault(server_id, now_s)
+        if not known.is_draining and self._may_be_renewed():
+            self._lapsed_ids.add(server_id)
             event = 'server-lapsed'
         else:
             del self._server_by_id[server_id]
@@ -408,21 +406,22 @@
             },
         )
 
+    def _may_be_renewed(self) -> bool:
+        """Whether running servers may not have renewed their entries yet."""
+        outage_age_s = self._clock.boot_s() - self._health.last_outage_s
+        return self._health.is_failing or outage_age_s < LAPSED_RETENTION_S
+
     def _remove_lapsed(self) -> None:
         """Remove lapsed entries some time after the end of the outage."""
-        if not self._lapsed_at_s_by_id or self._health.is_failing:
+        if not self._lapsed_ids or self._may_be_renewed():
             return
         now_s = self._clock.boot_s()
-        outage_end_s = self._health.last_outage_s
-        for server_id, lapsed_at_s in list(self._lapsed_at_s_by_id.items()):
-            if now_s - max(outage_end_s, lapsed_at_s) >= LAPSED_RETENTION_S:
-                del self._lapsed_at_s_by_id[server_id]
-                server = self._server_by_id.pop(server_id, None)
-                if server is not None:
-                    self._versions.record(
-                        server.service, server.version, now_s
-                    )
-                _LOG.info(
-                    'server-removed',
-                    extra={'server': server_id, 'reason': 'lapsed'},
-                )
+        for server_id in self._lapsed_ids:
+            server = self._server_by_id.pop(server_id, None)
+            if server is not None:
+                self._versions.record(server.service, server.version, now_s)
+            _LOG.info(
+                'server-removed',
+                extra={'server': server_id, 'reason': 'lapsed'},
+            )
+        self._lapsed_ids.clear()
--- a/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/relay_settings.py
@@ -48,6 +48,8 @@
         Memory beyond which the process is killed.
     rollout : RolloutBounds or None
         What an unproved version may get; None if versions are not rolled out.
+    server_heartbeat_s : float
+        Interval at which servers renew their entries; 0 if it is not known.
     """
 
     node_id: str
@@ -75,3 +77,4 @@
     cores: float
     memory_bytes: float
     rollout: rollout_plan.RolloutBounds | None = None
+    server_heartbeat_s: float = 0.0
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/topic_follower.py
@@ -315,6 +315,7 @@
             )
         match result:
             case topic_store.Unavailable(reason=reason):
+                self._health.record_confirmation(self.topic, self.view.as_of_s)
                 self._health.record_failure(self.topic, reason, requested_at_s)
                 self._failed_read = number
                 return False
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -385,6 +385,31 @@
         _set(store_health.StoreHealth, 'record_restore', _always(None)),
         restores.test_servers_missing_in_the_copy_are_used_for_a_while,
     ),
+    'an entry that lapses is kept for longer than the platform says': (
+        _set(server_list, 'LAPSED_RETENTION_S', 2.5),
+        lambda: lists.test_entry_removed_after_an_outage_is_not_kept_longer(
+            1.6
+        ),
+    ),
+    'a single lost call is an outage': (
+        lambda patch: patch.setattr(
+            store_health.StoreHealth,
+            '_min_outage_s',
+            property(_always(0.0), _always(None)),
+            raising=False,
+        ),
+        lists.test_entry_removed_after_a_single_lost_call_is_gone,
+    ),
+    'what peers read of the store does not count': (
+        _set(store_health.StoreHealth, '_record_served', _always(None)),
+        lists.test_entry_removed_while_peers_read_the_store_is_gone,
+    ),
+    'a call that fails late prolongs an outage': (
+        _set(store_health.StoreHealth, '_served_at_s', _always(-math.inf)),
+        lambda: lists.test_call_that_fails_late_does_not_prolong_an_outage(
+            False
+        ),
+    ),
     'configurations lost in a restore are not taken from peers': (
         _set(topic_exchange.TopicExchange, '_is_lost_version', _always(False)),
         restores.test_a_node_that_starts_after_a_restore_asks_a_peer,
