Ask a tunnel for its end in place of its sends

Cause: for a tunnel the sends' tracker was asked and its answer dropped. Change: it is asked for direct connections only. Result: tests of ends, early answers, cut heads, partitions and mutants pass.

--- a/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/backend_connection.py
@@ -337,12 +337,13 @@
 
     async def _check_end(self) -> None:
         """Find out how the connection ended, after the end of its stream."""
-        end = await self._tracker.find_end()
-        if isinstance(self._stream, tunnel_stream.TunnelStream):
+        if not isinstance(self._stream, tunnel_stream.TunnelStream):
+            end = await self._tracker.find_end()
+        elif self._stream.has_unreceived:
+            end = connection_end.ConnectionEnd.CLOSED_EARLY
+        else:
             # A send that failed shows nothing of the server's connection.
             end = connection_end.ConnectionEnd.CLOSED
-            if self._stream.has_unreceived:
-                end = connection_end.ConnectionEnd.CLOSED_EARLY
         if end is connection_end.ConnectionEnd.RESET:
             self.trace.record_reset()
             raise BackendDisconnected(
--- a/packages/node/src/foxtailrelay_node/internal/relay/state/store_health.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/state/store_health.py
@@ -13,7 +13,7 @@
 class StoreHealth:
     """Tracks the outcomes of calls to the store.
 
-    A node sees the begin and the end of an outage late: a call without an
+    A node sees the start and the end of an outage late: a call without an
     answer fails by its timeout, and the next ones follow after a backoff.
     What peers have read shows that the store served others meanwhile.
 
