--- a/packages/core/src/foxtailrelay_core/internal/tunnel_messages.py
+++ b/packages/core/src/foxtailrelay_core/internal/tunnel_messages.py
@@ -18,8 +18,8 @@
         Whether only to find out if the server has ended; the connection then
         stays one for messages.
     reads_counts : bool
-        Whether the end of the server's stream may be told together with how
-        many bytes the server has received.
+        Whether the end of the server's stream may be sent with the number of
+        bytes that the server has received.
     """
 
     server: str
--- a/packages/node/src/foxtailrelay_node/internal/relay/http/connection_end.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/http/connection_end.py
@@ -9,7 +9,7 @@
 
 
 class ConnectionEnd(enum.Enum):
-    """What is known of the end of a connection.
+    """How the remote end has ended a connection.
 
     ``CLOSED_EARLY``: the remote end closed its side in order, but has not
     received all that was sent to it.
@@ -54,7 +54,7 @@
         return max(0, self.sent_bytes - unacknowledged)
 
     async def send_all(self, data: bytes | memoryview) -> None:
-        """Send bytes; record whether a failure of it shows a reset.
+        """Send bytes; record whether a failure shows a reset.
 
         Raises
         ------
@@ -84,7 +84,7 @@
         if self._pending_send is not None and sockets.is_disconnected(
             self._stream
         ):
-            # The send fails at once.  It may have taken the error already.
+            # The send fails at once, and may hold the only report of a reset.
             await self._pending_send.wait()
         if self._is_reset:
             return ConnectionEnd.RESET
--- a/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_stream.py
+++ b/packages/node/src/foxtailrelay_node/internal/relay/tunnels/tunnel_stream.py
@@ -12,7 +12,7 @@
 # Block lengths with a meaning of their own.
 END_OF_STREAM = 0
 SERVER_RESET = 0xFFFF_FFFF
-# An end of the stream; a count follows of the bytes that the server received.
+# End of the stream, followed by the number of bytes the server received.
 END_WITH_COUNT = 0xFFFF_FFFE
 _END_WITH_COUNT_HEADER = HEADER.pack(END_WITH_COUNT)
 MAX_BLOCK_BYTES = 65536
--- a/tests/cover/relay/test_server_list.py
+++ b/tests/cover/relay/test_server_list.py
@@ -75,7 +75,7 @@
     assert listing.usable_ids() == []
 
 
-def test_entry_removed_after_a_single_lost_call_is_gone():
+def test_entry_removed_after_a_single_lost_call_is_unusable():
     """Guards against a lost connection that looks like an outage."""
     listing = _Listing(_HEARTBEAT_S)
     listing.apply('s1', relay_rig.encode_server_entry('plain', 1))
@@ -88,7 +88,7 @@
     assert listing.usable_ids() == []
 
 
-def test_entry_removed_while_peers_read_the_store_is_gone():
+def test_entry_removed_while_peers_read_the_store_is_unusable():
     """Guards against a node turned away that takes this for an outage."""
     listing = _Listing(_HEARTBEAT_S)
     health, clock = listing.health, listing.clock
--- a/tests/cover/relay/test_tunnel_ends.py
+++ b/tests/cover/relay/test_tunnel_ends.py
@@ -1,4 +1,4 @@
-"""How a node that carries a connection tells the end of its server."""
+"""How a node that carries a connection reports the end of its server."""
 
 import contextlib
 import socket
@@ -121,7 +121,7 @@
     _play(check)
 
 
-def test_reset_during_a_long_upload_is_told_whichever_task_sees_it():
+def test_reset_during_a_long_upload_is_reported_whichever_task_sees_it():
     """Guards against resets that depend on the order of two tasks."""
 
     async def check():
@@ -144,7 +144,7 @@
 
 
 def _delay_failed_sends(stream):
-    """Let sends fail some time after the system told the cause."""
+    """Let sends fail some time after the system reported the cause."""
     send_all = stream.send_all
 
     async def send_late(data):
@@ -218,7 +218,9 @@
 
 @pytest.mark.parametrize('status', [200, 413])
 @pytest.mark.parametrize('reads_upload', [True, False])
-def test_server_that_closes_early_is_known_over_a_peer(reads_upload, status):
+def test_server_that_closes_early_is_detected_over_a_peer(
+    reads_upload, status
+):
     """Guards against an upload given up, and whole early answers lost."""
 
     async def check():
@@ -249,7 +251,7 @@
 
 
 @pytest.mark.parametrize('is_early', [True, False])
-def test_node_of_an_earlier_release_gets_an_end_that_it_knows(is_early):
+def test_node_of_an_earlier_release_gets_an_end_that_it_can_read(is_early):
     """Guards against roll-outs in which nodes lose tunnels."""
 
     async def check():
--- a/tests/quality/test_connection_end_mutants.py
+++ b/tests/quality/test_connection_end_mutants.py
@@ -39,7 +39,7 @@
     ),
     'a server is taken to have received everything': (
         (_TRACKER, 'received_bytes', _constant(2**62)),
-        lambda: ends.test_server_that_closes_early_is_known_over_a_peer(
+        lambda: ends.test_server_that_closes_early_is_detected_over_a_peer(
             False, 200
         ),
     ),
--- a/tests/quality/test_relay_mutants.py
+++ b/tests/quality/test_relay_mutants.py
@@ -398,11 +398,11 @@
             property(_always(0.0), _always(None)),
             raising=False,
         ),
-        lists.test_entry_removed_after_a_single_lost_call_is_gone,
+        lists.test_entry_removed_after_a_single_lost_call_is_unusable,
     ),
     'what peers read of the store does not count': (
         _set(store_health.StoreHealth, '_record_served', _always(None)),
-        lists.test_entry_removed_while_peers_read_the_store_is_gone,
+        lists.test_entry_removed_while_peers_read_the_store_is_unusable,
     ),
     'a call that fails late prolongs an outage': (
         _set(store_health.StoreHealth, '_served_at_s', _always(-math.inf)),
