Give the callers of broken answers a limit that they keep

Cause: the tests call 172 times as fast as they can, and their organisation has the default limit of 100 requests a second. Where the machine is fast, the node refuses some of them with 429, which the test takes for its answer to an invalid status. Evidence: with the body of the 429 printed, three of three runs fail and say "organisation workshop may send 100 requests a second" (load under 3). Change: the organisation has a limit of 10,000; what the test demands of each answer is unchanged.

--- a/tests/cover/test_broken_off_answers_on_nodes.py
+++ b/tests/cover/test_broken_off_answers_on_nodes.py
@@ -21,7 +21,8 @@
     CREATE SERVICE kiosk WITH (kind = plain, idempotent = no);
     CREATE SERVICE clips WITH (kind = plain);
     CREATE SERVICE assistant WITH (kind = model);
-    CREATE ORGANISATION workshop WITH (token = '{token}');
+    CREATE ORGANISATION workshop WITH (token = '{token}',
+        requests_per_s = 10000);
     GRANT CALL ON SERVICE kiosk TO ORGANISATION workshop;
     GRANT CALL ON SERVICE clips TO ORGANISATION workshop;
     GRANT CALL ON SERVICE assistant TO ORGANISATION workshop;
